--- /dev/null
+++ b/acacialatch/__init__.py
@@ -0,0 +1,3 @@
+"""Query tier over many shards."""
+
+__version__ = "0.1.0"
