--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems that acacialatch talks to."""
--- /dev/null
+++ b/standins/backend.py
@@ -0,0 +1,445 @@
+"""Stand-in for the backend servers of a configuration text.
+
+One process plays every backend server of the text, each on its own address. The
+protocol is described in docs/BACKEND.md.
+"""
+
+import collections
+import contextlib
+import json
+import math
+import pathlib
+import random
+import secrets
+import sys
+import typing
+
+import fire
+import h11
+import trio
+
+from acacialatch import configuration, model
+
+ROW_STEP = 64
+"""One row exists for every key that is a multiple of this."""
+
+BASE_LATENCY_S = 0.004
+LATENCY_SIGMA = 0.3
+STRAGGLER_FACTOR = 20.0
+FALL_OVER_S = 2.0
+QUEUE_PER_SLOT = 8
+SHED_RETRY_AFTER_S = 0.2
+
+
+class Exchange(typing.NamedTuple):
+    """One request as received by the stand-in."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class Reply(typing.NamedTuple):
+    """One reply of the stand-in."""
+
+    status: int
+    body: dict[str, typing.Any]
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class BackendServer:
+    """One backend server with its state, faults and counters.
+
+    Parameters
+    ----------
+    replica : model.Replica
+        Address and availability zone.
+    service : model.Service
+        The leaf service whose data it holds.
+    partition_map : int
+        Number of the partition map it serves.
+    seed : int
+        Seed of its latencies.
+    straggler_rate : float
+        Fraction of sub-requests that take `STRAGGLER_FACTOR` times as long.
+    is_cold : bool
+        Whether it starts cold.
+    """
+
+    def __init__(
+        self,
+        replica: model.Replica,
+        service: model.Service,
+        partition_map: int,
+        seed: int,
+        straggler_rate: float,
+        is_cold: bool,
+    ):
+        assert service.shape is not None
+        self.replica = replica
+        self.service = service
+        self.shape: model.Shape = service.shape
+        self.keys = service.keys
+        self.partition_map = partition_map
+        self.versions = [1]
+        self.straggler_rate = straggler_rate
+        self.extra_latency_s = 0.0
+        self.draining = False
+        self.shedding = False
+        self.truncating = False
+        self.partial = False
+        self.losing_replies = False
+        self.silent_before = -math.inf
+        self.down_until = -math.inf
+        self.connections = 0
+        self.in_flight = 0
+        self.counters: collections.Counter[str] = collections.Counter()
+        self.runs: collections.Counter[str] = collections.Counter()
+        self._random = random.Random(f"{seed} {replica.address}")
+        self._slots = trio.Semaphore(self.shape.slots)
+        self._arrivals: collections.deque[float] = collections.deque()
+        self.restart(is_cold)
+
+    def restart(self, is_cold: bool = True) -> None:
+        """Begin a new incarnation; open connections stay open."""
+        self.incarnation = secrets.token_hex(8)
+        self._started = trio.current_time() if is_cold else -math.inf
+        self._answered = 0 if is_cold else self.shape.warm_after_requests
+        self._arrivals.clear()
+
+    def is_cold(self) -> bool:
+        """Return whether the server is still warming up."""
+        age = trio.current_time() - self._started
+        return (
+            age < self.shape.warm_up_s
+            or self._answered < self.shape.warm_after_requests
+        )
+
+    def is_down(self) -> bool:
+        """Return whether the server accepts nothing at present."""
+        return trio.current_time() < self.down_until
+
+    def note_arrival(self) -> None:
+        """Count load on a cold server; too much makes it fall over."""
+        if not self.is_cold():
+            return
+        now = trio.current_time()
+        self._arrivals.append(now)
+        while now - self._arrivals[0] >= self.shape.cold_window_s:
+            self._arrivals.popleft()
+        peak = max(self.counters["cold_peak"], len(self._arrivals))
+        self.counters["cold_peak"] = peak
+        if len(self._arrivals) > self.shape.cold_requests:
+            self.counters["fell_over"] += 1
+            self.down_until = now + FALL_OVER_S
+            self.restart()
+
+    def state(self) -> str:
+        """Return the state as the reply header `x-state` gives it."""
+        if self.draining:
+            return "leaving"
+        return "cold" if self.is_cold() else "ready"
+
+    def describe(self) -> tuple[tuple[str, str], ...]:
+        """Return the headers that every reply carries."""
+        return (
+            ("x-incarnation", self.incarnation),
+            ("x-state", self.state()),
+            ("x-index-versions", ",".join(map(str, self.versions))),
+        )
+
+    async def answer(self, exchange: Exchange) -> Reply | None:
+        """Answer one request; None closes the connection without a reply."""
+        route = (exchange.method, exchange.path)
+        if route == ("POST", "/control"):
+            return self._control(json.loads(exchange.body))
+        if route == ("GET", "/counters"):
+            return Reply(200, {**self.counters, "runs": dict(self.runs)})
+        if self.is_down():
+            return None
+        self.note_arrival()
+        if self.is_down():
+            return None
+        if route == ("GET", "/status"):
+            return Reply(200, {"in_flight": self.in_flight})
+        if route not in (("POST", "/query"), ("POST", "/request")):
+            return Reply(404, {"kind": "unknown_path"})
+        return await self._work(exchange)
+
+    async def _work(self, exchange: Exchange) -> Reply | None:
+        self.counters["arrived"] += 1
+        if self.draining:
+            self.counters["arrived_while_leaving"] += 1
+        waiting = self.in_flight - self.shape.slots
+        if self.shedding or waiting >= QUEUE_PER_SLOT * self.shape.slots:
+            self.counters["shed"] += 1
+            refusal = (
+                ("retry-after", str(SHED_RETRY_AFTER_S)),
+                ("x-refused", "before-run"),
+            )
+            return Reply(503, {"kind": "shed"}, refusal)
+        self.in_flight += 1
+        self.counters["in_flight_peak"] = max(
+            self.counters["in_flight_peak"], self.in_flight
+        )
+        try:
+            async with self._slots:
+                await trio.sleep(self._draw_latency())
+                reply = self._run(exchange)
+            self._answered += 1
+            return reply
+        except trio.Cancelled:
+            self.counters["cancelled"] += 1
+            raise
+        finally:
+            self.in_flight -= 1
+
+    def _draw_latency(self) -> float:
+        latency_s = self._random.lognormvariate(math.log(BASE_LATENCY_S), LATENCY_SIGMA)
+        if self._random.random() < self.straggler_rate:
+            latency_s *= STRAGGLER_FACTOR
+        return latency_s + self.extra_latency_s
+
+    def _run(self, exchange: Exchange) -> Reply | None:
+        if exchange.path == "/request":
+            return self._run_request(exchange)
+        return self._run_query(exchange)
+
+    def _run_request(self, exchange: Exchange) -> Reply | None:
+        request_key = exchange.headers.get("idempotency-key", "")
+        self.runs[request_key] += 1
+        self.counters["requests_run"] += 1
+        if self.losing_replies:
+            return None
+        fields = json.loads(exchange.body)
+        body = {
+            "request_id": exchange.headers.get("x-request-id", ""),
+            "result": f"accepted {fields.get('body', '')}",
+        }
+        return Reply(200, body)
+
+    def _run_query(self, exchange: Exchange) -> Reply | None:
+        headers = exchange.headers
+        version = int(headers.get("x-index-version", "0"))
+        if version not in self.versions:
+            return Reply(409, {"kind": "version_gone"})
+        if int(headers.get("x-partition-map", "0")) != self.partition_map:
+            return Reply(409, {"kind": "map_changed"})
+        fields = json.loads(exchange.body)
+        start = max(int(headers["x-key-start"]), self.keys.start)
+        end = min(int(headers["x-key-end"]), self.keys.end)
+        if self.partial:
+            end = (start + end) // 2
+        self.counters["queries_run"] += 1
+        body = {
+            "request_id": headers.get("x-request-id", ""),
+            "index": self.service.index,
+            "version": version,
+            "partition_map": self.partition_map,
+            "ranges": [[start, end]],
+            "rows": _make_rows(start, end, version, fields),
+        }
+        return None if self.losing_replies else Reply(200, body)
+
+    def _control(self, fields: dict[str, typing.Any]) -> Reply:
+        for name, value in fields.items():
+            if name == "restart":
+                self.restart()
+            elif name == "down_s":
+                self.down_until = trio.current_time() + value
+                self.restart()
+            elif name == "silence_connections":
+                self.silent_before = trio.current_time()
+            elif name == "keys":
+                self.keys = model.KeyRange(*value)
+            else:
+                if not hasattr(self, name) or name.startswith("_"):
+                    return Reply(400, {"kind": f"unknown control {name}"})
+                setattr(self, name, value)
+        return Reply(200, {"state": self.state()})
+
+
+def _make_rows(
+    start: int, end: int, version: int, fields: dict[str, typing.Any]
+) -> list[tuple[int, str]]:
+    key = fields.get("key")
+    if key is not None:
+        return [(key, f"row {key} version {version}")] if start <= key < end else []
+    first = -(-start // ROW_STEP) * ROW_STEP
+    keys = range(first, end, ROW_STEP)[: fields.get("limit", 100)]
+    return [(row, f"row {row} version {version}") for row in keys]
+
+
+class _Connection:
+    """One connection of a client to a backend server."""
+
+    def __init__(self, server: BackendServer, stream: trio.SocketStream):
+        self._server = server
+        self._stream = stream
+        self._opened = trio.current_time()
+        self._http = h11.Connection(h11.SERVER)
+
+    async def run(self) -> None:
+        while True:
+            exchange = await self._read()
+            if exchange is None:
+                return
+            reply = await self._answer(exchange)
+            if self._opened <= self._server.silent_before and exchange.path not in (
+                "/control",
+                "/counters",
+            ):
+                await trio.sleep_forever()
+            if reply is None:
+                return
+            await self._send(reply)
+            if self._http.our_state is not h11.DONE:
+                return
+            self._http.start_next_cycle()
+
+    async def _read(self) -> Exchange | None:
+        head: h11.Request | None = None
+        body = b""
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                self._http.receive_data(await self._stream.receive_some(65536))
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                headers = {
+                    name.decode(): value.decode() for name, value in head.headers
+                }
+                return Exchange(
+                    head.method.decode(), head.target.decode(), headers, body
+                )
+            else:
+                return None
+
+    async def _answer(self, exchange: Exchange) -> Reply | None:
+        reply: Reply | None = None
+
+        async def watch(scope: trio.CancelScope) -> None:
+            with contextlib.suppress(OSError, trio.BrokenResourceError):
+                while data := await self._stream.receive_some(65536):
+                    self._http.receive_data(data)
+            # A run that has begun to change data is not undone by the caller.
+            if exchange.path == "/query":
+                scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch, nursery.cancel_scope)
+            reply = await self._server.answer(exchange)
+            nursery.cancel_scope.cancel()
+        return reply
+
+    async def _send(self, reply: Reply) -> None:
+        body = json.dumps(reply.body).encode()
+        headers = [
+            ("content-type", "application/json"),
+            ("content-length", str(len(body))),
+            *self._server.describe(),
+            *reply.headers,
+        ]
+        data = self._http.send(h11.Response(status_code=reply.status, headers=headers))
+        data += self._http.send(h11.Data(data=body))
+        data += self._http.send(h11.EndOfMessage())
+        if self._server.truncating and reply.status == 200:
+            await self._stream.send_all(data[: -len(body) // 2])
+            await self._stream.aclose()
+            raise trio.ClosedResourceError
+        await self._stream.send_all(data)
+
+
+async def serve_server(server: BackendServer) -> None:
+    """Serve one backend server until cancelled."""
+
+    async def serve(stream: trio.SocketStream) -> None:
+        server.connections += 1
+        server.counters["connections_peak"] = max(
+            server.counters["connections_peak"], server.connections
+        )
+        try:
+            # Requests on /control are not limited: they steer the stand-in.
+            if server.connections > server.shape.connections + 1:
+                server.counters["connections_refused"] += 1
+                return
+            await _Connection(server, stream).run()
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        except (h11.ProtocolError, ValueError, KeyError):
+            server.counters["malformed"] += 1
+        finally:
+            server.connections -= 1
+            with trio.CancelScope(shield=True) as scope:
+                scope.deadline = trio.current_time() + 1
+                await stream.aclose()
+
+    host, _, port = server.replica.address.rpartition(":")
+    listeners = await trio.open_tcp_listeners(int(port), host=host)
+    await trio.serve_listeners(serve, listeners)
+
+
+def make_servers(
+    text: model.Configuration, seed: int, straggler_rate: float, is_cold: bool
+) -> list[BackendServer]:
+    """Return a stand-in for every backend server of a configuration."""
+    return [
+        BackendServer(
+            replica,
+            service,
+            text.indexes[service.index].partition_map,
+            seed,
+            straggler_rate,
+            is_cold,
+        )
+        for service in text.services.values()
+        for replica in service.replicas
+    ]
+
+
+async def serve_all(
+    path: str, seed: int, straggler_rate: float, is_cold: bool, run_s: float
+) -> None:
+    """Serve every backend server of the text at `path` for `run_s` seconds."""
+    parsed = configuration.parse(pathlib.Path(path).read_bytes(), path)
+    if parsed.is_err():
+        sys.exit("\n".join(str(problem) for problem in parsed.unwrap_err()))
+    servers = make_servers(parsed.unwrap(), seed, straggler_rate, is_cold)
+    with trio.move_on_after(run_s):
+        async with trio.open_nursery() as nursery:
+            for server in servers:
+                nursery.start_soon(serve_server, server)
+            print(f"backend: {len(servers)} servers listen", flush=True)
+
+
+def main(
+    text: str,
+    seed: int = 1,
+    straggler_rate: float = 0.01,
+    cold: bool = False,
+    run_s: float = 600.0,
+) -> None:
+    """Run the stand-in.
+
+    Parameters
+    ----------
+    text : str
+        Path of a configuration text.
+    seed : int
+        Seed of the latencies.
+    straggler_rate : float
+        Fraction of slow sub-requests.
+    cold : bool
+        Start with cold servers.
+    run_s : float
+        Time after which the process ends, in seconds.
+    """
+    trio.run(serve_all, text, seed, straggler_rate, cold, run_s)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/tests/test_httpclient.py
@@ -0,0 +1,136 @@
+"""Tests for acacialatch.httpclient."""
+
+import typing
+
+import pytest
+import trio
+
+from acacialatch import httpclient
+
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+
+class ScriptedServer:
+    """Server on loopback that answers each exchange with the next reply."""
+
+    def __init__(self, *replies: bytes | None):
+        self.replies = list(replies)
+        self.accepted = 0
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        self.accepted += 1
+        async with stream:
+            while await stream.receive_some(65536):
+                reply = self.replies.pop(0)
+                if reply is None:
+                    await trio.sleep_forever()
+                await stream.send_all(typing.cast(bytes, reply))
+
+
+async def start(nursery: trio.Nursery, server: ScriptedServer) -> str:
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    nursery.start_soon(trio.serve_listeners, server.serve, listeners)
+    host, port = listeners[0].socket.getsockname()[:2]
+    return f"{host}:{port}"
+
+
+def make_call(address: str, **changes: typing.Any) -> httpclient.Call:
+    call = httpclient.Call(address, "GET", "/status", (), b"", 5.0)
+    return call._replace(**changes)
+
+
+async def test_reuses_a_connection(nursery):
+    """Guards against a new connection for each exchange."""
+    server = ScriptedServer(OK, OK)
+    client = httpclient.PooledClient(lambda address: 3)
+    address = await start(nursery, server)
+    for _ in range(2):
+        reply = await client.exchange(make_call(address))
+        assert isinstance(reply, httpclient.Reply)
+        assert reply.body == b"ok"
+    assert server.accepted == 1
+
+
+async def test_timed_out_connection_is_never_reused(nursery):
+    """Guards against a late reply that answers the next request."""
+    server = ScriptedServer(None, OK)
+    client = httpclient.PooledClient(lambda address: 3)
+    address = await start(nursery, server)
+    failed = await client.exchange(make_call(address, timeout_s=0.05))
+    assert failed == httpclient.Failed(httpclient.Cause.NO_REPLY, True, True)
+    assert client.count_open(address) == 0
+    reply = await client.exchange(make_call(address))
+    assert isinstance(reply, httpclient.Reply)
+    assert server.accepted == 2
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        OK + b"extra",
+        b"HTTP/1.1 200 OK\r\n\r\nno length",
+        b"HTTP/1.1 200 OK\r\ncontent-length: x\r\n\r\n",
+        b"garbage\r\n\r\n",
+    ],
+)
+async def test_malformed_reply_is_an_error(nursery, reply):
+    """Guards against over-long, unframed or broken replies taken as whole."""
+    client = httpclient.PooledClient(lambda address: 3)
+    address = await start(nursery, ScriptedServer(reply))
+    failed = await client.exchange(make_call(address))
+    assert isinstance(failed, httpclient.Failed)
+    assert failed.cause is httpclient.Cause.BAD_REPLY
+    assert client.count_open(address) == 0
+
+
+async def test_connect_refused_sends_no_byte():
+    """Guards against an unknown outcome where no server was reached."""
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    await listeners[0].aclose()
+    client = httpclient.PooledClient(lambda address: 3)
+    failed = await client.exchange(make_call(f"127.0.0.1:{port}"))
+    assert failed == httpclient.Failed(httpclient.Cause.CONNECT_REFUSED, False, True)
+    assert client.count_open(f"127.0.0.1:{port}") == 0
+
+
+async def test_connection_limit_holds(nursery):
+    """Guards against more connections than the share of this entry instance."""
+    server = ScriptedServer(None, None, None)
+    client = httpclient.PooledClient(lambda address: 2)
+    address = await start(nursery, server)
+    results = []
+
+    async def call() -> None:
+        results.append(await client.exchange(make_call(address, timeout_s=0.2)))
+
+    async with trio.open_nursery() as calls:
+        for _ in range(3):
+            calls.start_soon(call)
+    causes = sorted(failed.cause.value for failed in results)
+    assert causes == ["no_connection", "no_reply", "no_reply"]
+    assert server.accepted == 2
+
+
+async def test_stopped_before_the_first_byte(nursery):
+    """Guards against a send after the decision to send was withdrawn."""
+    server = ScriptedServer(OK)
+    client = httpclient.PooledClient(lambda address: 3)
+    address = await start(nursery, server)
+    failed = await client.exchange(make_call(address), on_first_byte=lambda: False)
+    assert isinstance(failed, httpclient.Failed)
+    assert not failed.bytes_sent
+    assert len(server.replies) == 1
+
+
+async def test_unproved_connection_is_not_used(nursery, mock_clock):
+    """Guards against a stale pooled connection for a non-idempotent request."""
+    server = ScriptedServer(OK, OK)
+    client = httpclient.PooledClient(lambda address: 1)
+    address = await start(nursery, server)
+    await client.exchange(make_call(address))
+    mock_clock.jump(httpclient.PROVED_FOR_S + 0.1)
+    reply = await client.exchange(make_call(address, needs_proved=True))
+    assert isinstance(reply, httpclient.Reply)
+    assert reply.is_new_connection
+    assert server.accepted == 2
--- /dev/null
+++ b/tests/test_httpserver.py
@@ -0,0 +1,124 @@
+"""Tests for acacialatch.httpserver."""
+
+import pytest
+import trio
+import trio.testing
+
+from acacialatch import httpserver
+
+GET = b"GET /path?zone=nadi HTTP/1.1\r\nhost: a\r\n\r\n"
+
+
+def refuse(kind: str) -> httpserver.Response:
+    statuses = {"malformed_request": 400, "body_too_large": 413, "internal": 500}
+    return httpserver.Response(statuses[kind], kind.encode())
+
+
+async def echo(request: httpserver.Request) -> httpserver.Response:
+    text = f"{request.method} {request.path} {request.query} {len(request.body)}"
+    return httpserver.Response(200, text.encode())
+
+
+async def open_connection(nursery, server: httpserver.Server) -> trio.SocketStream:
+    listener = await httpserver.listen("127.0.0.1:0")
+    nursery.start_soon(httpserver.serve_listener, server, listener, nursery)
+    host, port = listener.socket.getsockname()[:2]
+    return await trio.open_tcp_stream(host, port)
+
+
+async def exchange(stream: trio.SocketStream, data: bytes, end: bytes) -> bytes:
+    await stream.send_all(data)
+    received = b""
+    with trio.fail_after(5):
+        while not received.endswith(end):
+            part = await stream.receive_some(65536)
+            if not part:
+                break
+            received += part
+    return received
+
+
+async def test_serves_requests_in_sequence(nursery):
+    """Guards against a connection that serves only one request."""
+    stream = await open_connection(nursery, httpserver.Server(echo, refuse))
+    for _ in range(2):
+        reply = await exchange(stream, GET, b"zone=nadi 0")
+        assert reply.startswith(b"HTTP/1.1 200")
+        assert b"keep-alive: timeout=5" in reply.lower()
+
+
+async def test_serves_pipelined_requests(nursery):
+    """Guards against loss of a request that arrives during the one before."""
+    stream = await open_connection(nursery, httpserver.Server(echo, refuse))
+    reply = await exchange(
+        stream, GET + GET.replace(b"/path", b"/last"), b"zone=nadi 0"
+    )
+    if b"/last" not in reply:
+        reply += await exchange(stream, b"", b"zone=nadi 0")
+    assert reply.count(b"HTTP/1.1 200") == 2
+
+
+@pytest.mark.parametrize(
+    ("data", "kind"),
+    [
+        (b"nonsense\r\n\r\n", b"malformed_request"),
+        (b"GET / HTTP/1.1\r\n\r\n", b"malformed_request"),
+        (
+            b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 300000\r\n\r\n"
+            + bytes(httpserver.BODY_BYTES_MAX + 1),
+            b"body_too_large",
+        ),
+    ],
+)
+async def test_bad_request_gets_a_clear_error(nursery, data, kind):
+    """Guards against bad input that closes the connection without an answer."""
+    server = httpserver.Server(echo, refuse)
+    other = await open_connection(nursery, server)
+    listener = await httpserver.listen("127.0.0.1:0")
+    nursery.start_soon(httpserver.serve_listener, server, listener, nursery)
+    stream = await trio.open_tcp_stream(*listener.socket.getsockname()[:2])
+    assert kind in await exchange(stream, data, kind)
+    assert b"200" in await exchange(other, GET, b"zone=nadi 0")
+
+
+async def test_handler_error_becomes_an_answer(nursery):
+    """Guards against a defect in one request that ends the process."""
+    seen = []
+
+    async def fail(request: httpserver.Request) -> httpserver.Response:
+        raise KeyError("defect")
+
+    server = httpserver.Server(fail, refuse, seen.append)
+    stream = await open_connection(nursery, server)
+    assert b"500" in await exchange(stream, GET, b"internal")
+    assert len(seen) == 1
+
+
+async def test_caller_gone_cancels_the_handler(nursery):
+    """Guards against work that goes on for a caller that left."""
+    started, cancelled = trio.Event(), trio.Event()
+
+    async def wait(request: httpserver.Request) -> httpserver.Response:
+        started.set()
+        try:
+            await trio.sleep_forever()
+        finally:
+            cancelled.set()
+
+    stream = await open_connection(nursery, httpserver.Server(wait, refuse))
+    await stream.send_all(GET)
+    await started.wait()
+    await stream.aclose()
+    with trio.fail_after(5):
+        await cancelled.wait()
+
+
+async def test_close_is_announced(nursery):
+    """Guards against a planned stop that cuts off a request in progress."""
+    server = httpserver.Server(echo, refuse)
+    stream = await open_connection(nursery, server)
+    await exchange(stream, GET, b"zone=nadi 0")
+    server.announce_close()
+    reply = await exchange(stream, GET, b"never")
+    assert b"connection: close" in reply.lower()
+    assert reply.endswith(b"zone=nadi 0")
