Add events, planner, dispatch and query runner

Every send passes Dispatcher.begin, so that zone, freshness, state and permit checks hold for queued work, retries, hedges and probes alike.

--- a/acacialatch/wire.py
+++ b/acacialatch/bodies.py
@@ -94,7 +94,9 @@
 _JsonType = typing.TypeVar("_JsonType")
 
 
-def decode(body: bytes, kind: type[_JsonType]) -> result.Result[_JsonType, str]:
+def decode(
+    body: bytes, kind: type[_JsonType], allow_unknown: bool = False
+) -> result.Result[_JsonType, str]:
     """Decode a JSON body.
 
     Parameters
@@ -103,6 +105,8 @@
         JSON text.
     kind : type
         A `TypedDict` of this module.
+    allow_unknown : bool
+        Whether fields that `kind` lacks are ignored.
 
     Returns
     -------
@@ -115,7 +119,7 @@
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return result.Err(str(error))
     unknown = sorted(names - set(kind.__annotations__))
-    if unknown:
+    if unknown and not allow_unknown:
         return result.Err(f"unknown field {unknown[0]!r}")
     return result.Ok(decoded)
 
--- /dev/null
+++ b/acacialatch/dispatch.py
@@ -0,0 +1,307 @@
+"""Sends to backend servers: the last check before each send, and its end."""
+
+import collections
+import itertools
+import typing
+
+from acacialatch import (
+    allotments,
+    events,
+    model,
+    revisions,
+    routing,
+    servers,
+)
+
+_CAUSES = {
+    events.SendCause.CONNECT_REFUSED: servers.Cause.CONNECT_REFUSED,
+    events.SendCause.CONNECT_TIMEOUT: servers.Cause.CONNECT_TIMEOUT,
+    events.SendCause.NO_REPLY: servers.Cause.NO_REPLY,
+    events.SendCause.CONNECTION_LOST: servers.Cause.CONNECTION_LOST,
+    events.SendCause.BAD_REPLY: servers.Cause.BAD_REPLY,
+}
+
+_STATES = {
+    "cold": model.ServerState.COLD,
+    "leaving": model.ServerState.LEAVING,
+}
+
+SHED_STATUS = 503
+
+
+class Identity(typing.NamedTuple):
+    """Who this entry instance is.
+
+    Attributes
+    ----------
+    name : str
+        Name from the settings.
+    incarnation : str
+        Random identifier of this run of the process, 128 bits in hexadecimal.
+    zone : str
+        Availability zone from the settings.
+    caller_address, peer_address : str
+        Addresses from the settings.
+    """
+
+    name: str
+    incarnation: str
+    zone: str
+    caller_address: str
+    peer_address: str
+
+
+class Sent(typing.NamedTuple):
+    """A send in progress.
+
+    Attributes
+    ----------
+    address : str
+        Address of the backend server.
+    service : model.Service
+        Leaf service that the server belongs to.
+    started : float
+        Time of the send, in seconds.
+    is_request : bool
+        False for a status probe.
+    """
+
+    address: str
+    service: model.Service
+    started: float
+    is_request: bool
+
+
+class Dispatcher:
+    """Decides whether a send may happen now, and keeps account of all sends.
+
+    Every send of this entry instance passes `begin`, whatever its purpose, so the
+    checks hold for queued work, retries, hedges and probes alike.
+
+    Parameters
+    ----------
+    identity : Identity
+        This entry instance.
+    store : revisions.RevisionStore
+        Configuration in force and its freshness.
+    table : servers.ServerTable
+        States of the backend servers.
+    shares : allotments.Allotments
+        Shares of connections and permits for cold servers.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        store: revisions.RevisionStore,
+        table: servers.ServerTable,
+        shares: allotments.Allotments,
+    ):
+        self.identity = identity
+        self.store = store
+        self.table = table
+        self.shares = shares
+        self.peers_known = False
+        self.demand: collections.Counter[str] = collections.Counter()
+        self._idle: dict[str, int] = {}
+        self._sent: dict[int, Sent] = {}
+        self._numbers = itertools.count(1)
+
+    def is_current(self, now: float) -> bool:
+        """Return whether the configuration may be relied on for new work."""
+        return self.store.is_current(now, self.peers_known)
+
+    def set_idle(self, address: str, idle: int) -> None:
+        """Take the number of idle connections to a server."""
+        self._idle[address] = idle
+
+    def make_candidate(
+        self, now: float, service: model.Service, replica: model.Replica
+    ) -> routing.Candidate:
+        """Return how a replica is seen now, with the reason for an exclusion."""
+        address = replica.address
+        reason = self.find_obstacle(now, service, address)
+        if reason == _COLD_BUDGET:
+            self.demand[address] += 1
+        return routing.Candidate(
+            address,
+            replica.zone,
+            self.table.state(now, address),
+            self.table.in_flight(address),
+            self.table.latency(address),
+            not reason,
+            reason,
+            replica.zone == self.identity.zone,
+            self._idle.get(address, 0) > 0,
+        )
+
+    def find_obstacle(self, now: float, service: model.Service, address: str) -> str:
+        """Return why no work may be sent to a server now; empty if it may."""
+        if not self.is_current(now):
+            return "not_current"
+        allowed, reason = self.table.may_send(now, address)
+        if not allowed and not self._may_probe(now, address):
+            return reason
+        if self.table.in_flight(address) >= self._limit(service):
+            return "slots"
+        if self.table.needs_permit(now, address) and not self._has_permits(
+            now, address
+        ):
+            return _COLD_BUDGET
+        return ""
+
+    def begin(
+        self,
+        now: float,
+        service: model.Service,
+        address: str,
+        is_request: bool = True,
+    ) -> int | None:
+        """Account for a send, if it may happen now.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        service : model.Service
+            Leaf service of the server.
+        address : str
+            Address of the server.
+        is_request : bool
+            False for a status probe, which states that admit no work allow.
+
+        Returns
+        -------
+        int or None
+            Identifier of the send; None if it must not happen.
+        """
+        if is_request:
+            if self.find_obstacle(now, service, address):
+                return None
+        elif not self.is_current(now):
+            return None
+        if self.table.needs_permit(now, address) and not self._take_permits(
+            now, address
+        ):
+            self.demand[address] += 1
+            return None
+        self.table.observe_send(now, address)
+        if self._idle.get(address, 0) > 0:
+            self._idle[address] -= 1
+        send_id = next(self._numbers)
+        self._sent[send_id] = Sent(address, service, now, is_request)
+        return send_id
+
+    def end_with_reply(
+        self, now: float, event: events.ServerReplied
+    ) -> list[events.Action]:
+        """Account for a whole reply; returns changes for the audit trail."""
+        sent = self._sent.pop(event.send_id, None)
+        if sent is None:
+            return []
+        changes = self.table.observe_end(now, sent.address)
+        if event.news.incarnation:
+            changes = changes + self.table.observe_reply(
+                now,
+                sent.address,
+                event.news.incarnation,
+                _STATES.get(event.news.state, model.ServerState.READY),
+                {sent.service.index: event.news.versions},
+                now - sent.started,
+                sent.is_request and event.status == 200,
+            )
+        if event.status == SHED_STATUS:
+            changes = changes + self.table.observe_failure(
+                now,
+                sent.address,
+                servers.Cause.SHED,
+                event.is_new_connection,
+                event.news.retry_after_s,
+            )
+        return note_changes(changes)
+
+    def end_with_failure(
+        self, now: float, event: events.SendFailed
+    ) -> list[events.Action]:
+        """Account for a failed send; returns changes for the audit trail."""
+        sent = self._sent.pop(event.send_id, None)
+        if sent is None:
+            return []
+        changes = self.table.observe_end(now, sent.address)
+        cause = _CAUSES.get(event.cause)
+        if cause is not None:
+            changes = changes + self.table.observe_failure(
+                now, sent.address, cause, event.is_new_connection
+            )
+        return note_changes(changes)
+
+    def end_cancelled(self, now: float, send_id: int) -> list[events.Action]:
+        """Account for a send that this entry instance cancelled."""
+        sent = self._sent.pop(send_id, None)
+        if sent is None:
+            return []
+        return note_changes(self.table.observe_end(now, sent.address))
+
+    def end_timed_out(self, now: float, send_id: int) -> list[events.Action]:
+        """Account for a send that was given up because no reply came in time."""
+        sent = self._sent.get(send_id)
+        if sent is None:
+            return []
+        lost = events.SendFailed(send_id, events.SendCause.NO_REPLY, True, False)
+        return self.end_with_failure(now, lost)
+
+    def started_at(self, send_id: int) -> float | None:
+        """Return the time at which a send in progress began, in seconds."""
+        sent = self._sent.get(send_id)
+        return None if sent is None else sent.started
+
+    def take_demand(self) -> dict[str, int]:
+        """Return and reset the number of sends that lacked a permit, by server."""
+        demand, self.demand = dict(self.demand), collections.Counter()
+        return demand
+
+    def _limit(self, service: model.Service) -> int:
+        return min(
+            self.shares.slot_limit(service), self.shares.connection_share(service)
+        )
+
+    def _may_probe(self, now: float, address: str) -> bool:
+        """Return whether a sub-request may serve as the one probe that is due."""
+        state = self.table.state(now, address)
+        if state in (model.ServerState.LEAVING, model.ServerState.UNLISTED):
+            return False
+        return self.table.is_probe_due(now, address)
+
+    def _needed_permits(self, address: str) -> int:
+        # Connection set-up is load on a cold server, too.
+        return 1 if self._idle.get(address, 0) > 0 else 2
+
+    def _has_permits(self, now: float, address: str) -> bool:
+        incarnation = self.table.incarnation(address)
+        held = self.shares.count_permits(now, address, incarnation)
+        return held >= self._needed_permits(address)
+
+    def _take_permits(self, now: float, address: str) -> bool:
+        if not self._has_permits(now, address):
+            return False
+        incarnation = self.table.incarnation(address)
+        return all(
+            self.shares.take(now, address, incarnation)
+            for _ in range(self._needed_permits(address))
+        )
+
+
+_COLD_BUDGET = "cold_budget"
+
+
+def note_changes(changes: typing.Iterable[servers.Change]) -> list[events.Action]:
+    """Return the audit actions for transitions of backend servers."""
+    return [
+        events.NoteChange(
+            f"server {change.address}",
+            change.before.value,
+            change.after.value,
+            change.cause,
+        )
+        for change in changes
+    ]
--- /dev/null
+++ b/acacialatch/events.py
@@ -0,0 +1,357 @@
+"""Events that enter the engine and actions that leave it."""
+
+import enum
+import typing
+
+from acacialatch import attempts, bodies, errors, model
+
+
+class SendCause(enum.Enum):
+    """Why an exchange with a backend server gave no whole reply."""
+
+    NO_CONNECTION = "no_connection"
+    CONNECT_REFUSED = "connect_refused"
+    CONNECT_TIMEOUT = "connect_timeout"
+    NO_REPLY = "no_reply"
+    CONNECTION_LOST = "connection_lost"
+    BAD_REPLY = "bad_reply"
+
+
+class QueryArrived(typing.NamedTuple):
+    """A caller sent a query."""
+
+    query: model.Query
+
+
+class QueryAbandoned(typing.NamedTuple):
+    """The caller of a query closed its connection."""
+
+    answer_id: str
+
+
+class RequestArrived(typing.NamedTuple):
+    """A caller or a peer sent a non-idempotent request.
+
+    Attributes
+    ----------
+    call_id : str
+        Identifier of this call; the answer carries it.
+    idempotency_key : str
+        Key from the caller.
+    service : str
+        Name of the service.
+    key : int
+        Key of the index that the request changes.
+    body : str
+        Text passed to the backend server.
+    deadline : float
+        Time in seconds by which the answer must leave.
+    hops : int
+        Number of entry instances that forwarded the request.
+    """
+
+    call_id: str
+    idempotency_key: str
+    service: str
+    key: int
+    body: str
+    deadline: float
+    hops: int
+
+
+class RequestAbandoned(typing.NamedTuple):
+    """The caller of a non-idempotent request closed its connection."""
+
+    call_id: str
+
+
+class ForwardAnswered(typing.NamedTuple):
+    """The issuer answered a forwarded request."""
+
+    call_id: str
+    status: int
+    kind: str
+    body: bytes
+
+
+class ForwardFailed(typing.NamedTuple):
+    """A forwarded request got no answer.
+
+    Attributes
+    ----------
+    call_id : str
+        Identifier of the call.
+    left : bool
+        Whether the request may have left this process.
+    """
+
+    call_id: str
+    left: bool
+
+
+class ServerReplied(typing.NamedTuple):
+    """A backend server gave a whole HTTP reply.
+
+    Attributes
+    ----------
+    send_id : int
+        Identifier of the send.
+    status : int
+        HTTP status code.
+    news : bodies.ServerNews
+        State of the server, from the headers.
+    headers : dict
+        All header fields, names in lower case.
+    body : bytes
+        Body of the reply.
+    latency_s : float
+        Time since the send, in seconds.
+    is_new_connection : bool
+        Whether the connection was opened for this exchange.
+    """
+
+    send_id: int
+    status: int
+    news: bodies.ServerNews
+    headers: dict[str, str]
+    body: bytes
+    latency_s: float
+    is_new_connection: bool
+
+
+class SendFailed(typing.NamedTuple):
+    """An exchange with a backend server gave no whole reply."""
+
+    send_id: int
+    cause: SendCause
+    bytes_sent: bool
+    is_new_connection: bool
+
+
+class FirstByteSent(typing.NamedTuple):
+    """The first byte of a request is about to be sent."""
+
+    send_id: int
+
+
+class PoolChanged(typing.NamedTuple):
+    """The number of idle connections to a server changed."""
+
+    address: str
+    idle: int
+
+
+class ConfigurationRead(typing.NamedTuple):
+    """The configuration service or a peer gave a configuration text."""
+
+    revision: int
+    text: bytes
+    source: str
+
+
+class ServiceAnswered(typing.NamedTuple):
+    """The configuration service answered; `revision` is the one that it holds."""
+
+    revision: int | None = None
+
+
+class InstancesListed(typing.NamedTuple):
+    """The platform gave its list of instances."""
+
+    instances: tuple[typing.Any, ...]
+
+
+class DigestArrived(typing.NamedTuple):
+    """A peer sent its digest, or answered one."""
+
+    digest: typing.Any
+
+
+class LoopTicked(typing.NamedTuple):
+    """A timer of the engine came due, or the daemon reports that it runs."""
+
+
+class StopAsked(typing.NamedTuple):
+    """An operator asked for a graceful shutdown."""
+
+
+class SendToServer(typing.NamedTuple):
+    """Starts an exchange with a backend server.
+
+    Attributes
+    ----------
+    send_id : int
+        Identifier of the send.
+    address : str
+        IP address and port of the server.
+    method, path : str
+        Method and target.
+    headers : tuple of (str, str)
+        Header fields.
+    body : bytes
+        Request body.
+    timeout_s : float
+        Longest time for the exchange, in seconds.
+    needs_proved : bool
+        Use only a new connection or one proved in the last second, and report
+        `FirstByteSent`.
+    """
+
+    send_id: int
+    address: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    timeout_s: float
+    needs_proved: bool = False
+
+
+class CancelSend(typing.NamedTuple):
+    """Cancels an exchange and closes its connection."""
+
+    send_id: int
+
+
+class AnswerQuery(typing.NamedTuple):
+    """Gives the answer to a query."""
+
+    answer_id: str
+    revision: int
+    outcome: attempts.Outcome
+
+
+class AnswerRequest(typing.NamedTuple):
+    """Gives the answer to a non-idempotent request.
+
+    Attributes
+    ----------
+    call_id : str
+        Identifier of the call.
+    failure : errors.Failure or None
+        The error, if any.
+    status : int
+        HTTP status code of the reply when there is no failure.
+    body : bytes
+        Body of the backend server's reply when there is no failure.
+    """
+
+    call_id: str
+    failure: errors.Failure | None
+    status: int = 200
+    body: bytes = b""
+
+
+class ForwardToPeer(typing.NamedTuple):
+    """Forwards a non-idempotent request to the issuer of its key."""
+
+    call_id: str
+    peer_address: str
+    request: RequestArrived
+    timeout_s: float
+
+
+class WriteRecord(typing.NamedTuple):
+    """Writes an explanation record."""
+
+    answer_id: str
+    data: bytes
+
+
+class NoteChange(typing.NamedTuple):
+    """Writes a change to the audit trail."""
+
+    subject: str
+    before: str
+    after: str
+    cause: str
+
+
+class WriteLog(typing.NamedTuple):
+    """Writes a log line; `prefix` names the part."""
+
+    prefix: str
+    text: str
+
+
+class CountMetric(typing.NamedTuple):
+    """Adds to a counter."""
+
+    name: str
+    value: int = 1
+
+
+class TimeMetric(typing.NamedTuple):
+    """Adds a duration in seconds to a timer."""
+
+    name: str
+    value_s: float
+
+
+class ExchangeDigest(typing.NamedTuple):
+    """Sends a digest to a peer and reports its digest in return."""
+
+    peer_address: str
+    digest: typing.Any
+
+
+class FetchConfiguration(typing.NamedTuple):
+    """Fetches the configuration text from a peer."""
+
+    peer_address: str
+
+
+class ReadService(typing.NamedTuple):
+    """Reads the configuration service.
+
+    Attributes
+    ----------
+    after : int
+        Revision in force.
+    wait_s : float
+        Time for which the service may wait for a newer one, in seconds.
+    """
+
+    after: int
+    wait_s: float
+
+
+class ListInstances(typing.NamedTuple):
+    """Reads the platform's list of instances."""
+
+
+Event: typing.TypeAlias = (
+    QueryArrived
+    | QueryAbandoned
+    | RequestArrived
+    | RequestAbandoned
+    | ForwardAnswered
+    | ForwardFailed
+    | ServerReplied
+    | SendFailed
+    | FirstByteSent
+    | PoolChanged
+    | ConfigurationRead
+    | ServiceAnswered
+    | InstancesListed
+    | DigestArrived
+    | LoopTicked
+    | StopAsked
+)
+
+Action: typing.TypeAlias = (
+    SendToServer
+    | CancelSend
+    | AnswerQuery
+    | AnswerRequest
+    | ForwardToPeer
+    | WriteRecord
+    | NoteChange
+    | WriteLog
+    | CountMetric
+    | TimeMetric
+    | ExchangeDigest
+    | FetchConfiguration
+    | ReadService
+    | ListInstances
+)
--- a/acacialatch/httpclient.py
+++ b/acacialatch/httpclient.py
@@ -2,12 +2,13 @@
 
 import abc
 import collections
-import enum
 import typing
 
 import h11
 import trio
 
+from acacialatch import events
+
 PROVED_FOR_S = 1.0
 """Time in seconds during which a finished exchange proves a connection usable."""
 
@@ -57,23 +58,12 @@
     is_new_connection: bool
 
 
-class Cause(enum.Enum):
-    """Why an exchange gave no whole reply."""
-
-    NO_CONNECTION = "no_connection"
-    CONNECT_REFUSED = "connect_refused"
-    CONNECT_TIMEOUT = "connect_timeout"
-    NO_REPLY = "no_reply"
-    CONNECTION_LOST = "connection_lost"
-    BAD_REPLY = "bad_reply"
-
-
 class Failed(typing.NamedTuple):
     """An exchange without a whole reply.
 
     Attributes
     ----------
-    cause : Cause
+    cause : events.SendCause
         What went wrong.
     bytes_sent : bool
         Whether any byte of the request may have reached the server.
@@ -81,7 +71,7 @@
         Whether the connection was opened for this exchange.
     """
 
-    cause: Cause
+    cause: events.SendCause
     bytes_sent: bool
     is_new_connection: bool
 
@@ -170,14 +160,14 @@
                 raise _StoppedError
             sent = True
 
-        def fail(cause: Cause) -> Failed:
+        def fail(cause: events.SendCause) -> Failed:
             return Failed(cause, sent, connection is None or connection.is_new)
 
         reusable = False
         try:
             with trio.fail_after(call.timeout_s):
                 connection = await self._acquire(call)
-                if isinstance(connection, Cause):
+                if isinstance(connection, events.SendCause):
                     cause, connection = connection, None
                     return fail(cause)
                 reply = await self._run(connection, call, note_first_byte, started)
@@ -185,18 +175,20 @@
             return reply
         except _StoppedError:
             reusable = True
-            return fail(Cause.NO_CONNECTION)
+            return fail(events.SendCause.NO_CONNECTION)
         except trio.TooSlowError:
-            return fail(Cause.NO_REPLY if sent else Cause.CONNECT_TIMEOUT)
+            return fail(
+                events.SendCause.NO_REPLY if sent else events.SendCause.CONNECT_TIMEOUT
+            )
         except (h11.RemoteProtocolError, h11.LocalProtocolError, ValueError):
-            return fail(Cause.BAD_REPLY)
+            return fail(events.SendCause.BAD_REPLY)
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
-            return fail(Cause.CONNECTION_LOST)
+            return fail(events.SendCause.CONNECTION_LOST)
         finally:
             if connection is not None:
                 self._release(call.address, connection, reusable)
 
-    async def _acquire(self, call: Call) -> _Connection | Cause:
+    async def _acquire(self, call: Call) -> _Connection | events.SendCause:
         self._close_expired(call.address)
         idle = self._idle.get(call.address)
         now = trio.current_time()
@@ -204,12 +196,12 @@
             return idle.pop()
         if self._open[call.address] >= self._limit(call.address):
             if not idle:
-                return Cause.NO_CONNECTION
+                return events.SendCause.NO_CONNECTION
             # The share is used up by connections that are not proved.
             self._close(call.address, idle.popleft())
         return await self._connect(call.address)
 
-    async def _connect(self, address: str) -> _Connection | Cause:
+    async def _connect(self, address: str) -> _Connection | events.SendCause:
         host, _, port = address.rpartition(":")
         self._open[address] += 1
         try:
@@ -219,12 +211,12 @@
                 return connection
         except OSError:
             self._open[address] -= 1
-            return Cause.CONNECT_REFUSED
+            return events.SendCause.CONNECT_REFUSED
         except BaseException:
             self._open[address] -= 1
             raise
         self._open[address] -= 1
-        return Cause.CONNECT_TIMEOUT
+        return events.SendCause.CONNECT_TIMEOUT
 
     async def _run(
         self,
--- /dev/null
+++ b/acacialatch/planner.py
@@ -0,0 +1,94 @@
+"""Choice of the key ranges and index versions that a query reads."""
+
+import typing
+
+from acacialatch import attempts, model
+
+
+def list_parts(
+    configuration: model.Configuration, query: model.Query
+) -> tuple[attempts.Part, ...]:
+    """Return the parts of a query in the order of the configuration text.
+
+    A query with a key has the one part, of one key, for each index that it reaches.
+
+    Parameters
+    ----------
+    configuration : model.Configuration
+        Configuration in force.
+    query : model.Query
+        Query whose service exists in the configuration.
+    """
+    parts = []
+    for service in configuration.list_leaves(query.service):
+        keys = service.keys
+        if query.key is not None:
+            if not keys.start <= query.key < keys.end:
+                continue
+            keys = model.KeyRange(query.key, query.key + 1)
+        index = configuration.indexes[service.index]
+        parts.append(attempts.Part(service.name, index.name, keys, index.partition_map))
+    return tuple(parts)
+
+
+def pin_versions(
+    configuration: model.Configuration,
+    parts: typing.Sequence[attempts.Part],
+    held: typing.Mapping[str, typing.Mapping[str, tuple[int, ...]]],
+    lowest: typing.Mapping[str, int],
+) -> attempts.Versions | None:
+    """Choose one version for each index.
+
+    The newest version that some replica of every leaf is known to hold is taken,
+    else the newest known one.
+
+    Parameters
+    ----------
+    configuration : model.Configuration
+        Configuration in force.
+    parts : sequence of attempts.Part
+        Parts of the query.
+    held : mapping
+        Versions by index and by address of the usable replicas.
+    lowest : mapping of str to int
+        Lowest version accepted for each index.
+
+    Returns
+    -------
+    tuple or None
+        Pairs of index and version; None if an index has no known version.
+    """
+    pinned = []
+    for index in dict.fromkeys(part.index for part in parts):
+        services = [part.service for part in parts if part.index == index]
+        version = _pin_version(
+            configuration, services, held.get(index, {}), lowest.get(index, 0)
+        )
+        if version is None:
+            return None
+        pinned.append((index, version))
+    return tuple(pinned)
+
+
+def _pin_version(
+    configuration: model.Configuration,
+    services: typing.Sequence[str],
+    held: typing.Mapping[str, tuple[int, ...]],
+    lowest: int,
+) -> int | None:
+    common: set[int] | None = None
+    known: set[int] = set()
+    for name in services:
+        leaf = {
+            version
+            for replica in configuration.services[name].replicas
+            for version in held.get(replica.address, ())
+            if version >= lowest
+        }
+        known |= leaf
+        # A leaf of which nothing is known does not narrow the choice.
+        if leaf:
+            common = leaf if common is None else common & leaf
+    if common:
+        return max(common)
+    return max(known, default=None)
--- /dev/null
+++ b/acacialatch/queries.py
@@ -0,0 +1,560 @@
+"""Runs queries: joins scatter, server states, limits, budgets and queues."""
+
+import collections
+import heapq
+import random
+import typing
+
+import result
+
+from acacialatch import (
+    admission,
+    attempts,
+    bodies,
+    budgets,
+    dispatch,
+    errors,
+    events,
+    model,
+    planner,
+    records,
+    routing,
+    scatter,
+)
+
+QUERIES_MAX = 2_000
+"""Queries in progress above which new ones are refused."""
+
+QUEUE_MAX = 3_000
+QUEUE_PER_KIND_MAX = 1_000
+
+ATTEMPT_TIMEOUT_MIN_S = 0.25
+ATTEMPT_TIMEOUT_FACTOR = 10.0
+"""An attempt is given up after this many hedge delays."""
+
+RETRY_DELAY_S = 0.05
+"""Time after which parts that wait without a usable replica look again."""
+
+_CAUSES = {
+    events.SendCause.NO_CONNECTION: attempts.Cause.NOT_SENT,
+    events.SendCause.CONNECT_REFUSED: attempts.Cause.CONNECT_FAILED,
+    events.SendCause.CONNECT_TIMEOUT: attempts.Cause.CONNECT_FAILED,
+    events.SendCause.NO_REPLY: attempts.Cause.TIMEOUT,
+    events.SendCause.CONNECTION_LOST: attempts.Cause.CONNECTION_LOST,
+    events.SendCause.BAD_REPLY: attempts.Cause.BAD_REPLY,
+}
+
+
+class _Active:
+    """A query in progress."""
+
+    def __init__(
+        self,
+        query: model.Query,
+        configuration: model.Configuration,
+        floor: tuple[int, int],
+        seed: int,
+        policy: routing.ReplicaPolicy,
+    ):
+        self.query = query
+        self.configuration = configuration
+        self.floor = floor
+        self.seed = seed
+        self.scatter = scatter.Scatter(query, floor, seed, policy)
+        self.writer: records.RecordWriter | None = None
+        self.plan: attempts.Plan | None = None
+        self.wake_at = query.deadline
+        self.sends: dict[int, int] = {}
+        self.timeouts: dict[int, float] = {}
+        self.purposes: dict[int, attempts.Purpose] = {}
+        self.finished = False
+
+
+class _Sent(typing.NamedTuple):
+    answer_id: str
+    attempt: int
+    service: str
+    index: str
+
+
+class QueryRunner:
+    """Runs all queries of one entry instance.
+
+    Parameters
+    ----------
+    dispatcher : dispatch.Dispatcher
+        Sends to backend servers.
+    list_members : callable
+        Returns the entry instances that are known, for explanation records.
+    policy : routing.ReplicaPolicy
+        Choice of replicas.
+    seed : int
+        Seed of all pseudo-random choices.
+    """
+
+    def __init__(
+        self,
+        dispatcher: dispatch.Dispatcher,
+        list_members: typing.Callable[[], tuple[str, ...]],
+        policy: routing.ReplicaPolicy,
+        seed: int,
+    ):
+        self._dispatcher = dispatcher
+        self._store = dispatcher.store
+        self._list_members = list_members
+        self._policy = policy
+        self._seed = seed
+        self._active: dict[str, _Active] = {}
+        self._unplanned: dict[str, model.Query] = {}
+        self._sent: dict[int, _Sent] = {}
+        self._queues: dict[str, admission.AdmissionQueue[tuple[str, int]]] = {}
+        self._timers: list[tuple[float, str]] = []
+        self._hedges = budgets.TokenBucket()
+        self._retries: dict[str, budgets.RetryThrottle] = {}
+        self._actions: list[events.Action] = []
+        self._next_look = float("inf")
+
+    def count(self) -> int:
+        """Return the number of queries in progress."""
+        return len(self._active) + len(self._unplanned)
+
+    def next_timer(self) -> float:
+        """Return the time in seconds at which `wake` must be called."""
+        first = self._timers[0][0] if self._timers else float("inf")
+        return min(first, self._next_look)
+
+    def owns(self, send_id: int) -> bool:
+        """Return whether a send belongs to a query."""
+        return send_id in self._sent
+
+    def set_configuration(self, configuration: model.Configuration) -> None:
+        """Take the budgets of a configuration that came into force."""
+        numerator, denominator = configuration.policy.hedge_budget
+        self._hedges = budgets.TokenBucket(numerator, denominator)
+        self._retries.clear()
+
+    def start(self, now: float, query: model.Query) -> list[events.Action]:
+        """Start a query, or answer it with the reason for the refusal."""
+        refusal = self._find_refusal(now)
+        if refusal is not None:
+            return [_answer_failure(query, self._store.revision, refusal)]
+        self._unplanned[query.answer_id] = query
+        heapq.heappush(self._timers, (query.deadline, query.answer_id))
+        self._plan_query(now, query)
+        return self._take_actions()
+
+    def abandon(self, now: float, answer_id: str) -> list[events.Action]:
+        """Stop a query whose caller is gone."""
+        self._unplanned.pop(answer_id, None)
+        active = self._active.get(answer_id)
+        if active is not None:
+            self._feed(now, active, attempts.CallerGone())
+        return self._take_actions()
+
+    def finish_all(self, now: float) -> list[events.Action]:
+        """Answer every query in progress with `shutting_down`."""
+        failure = errors.Failure(errors.ErrorKind.SHUTTING_DOWN)
+        revision = self._store.revision
+        for query in list(self._unplanned.values()):
+            self._actions.append(_answer_failure(query, revision, failure))
+        self._unplanned.clear()
+        for active in list(self._active.values()):
+            self._actions.append(_answer_failure(active.query, revision, failure))
+            active.finished = True
+            self._close(now, active)
+        return self._take_actions()
+
+    def receive(self, now: float, event: events.ServerReplied) -> list[events.Action]:
+        """Take the reply of a backend server to a sub-request."""
+        sent = self._sent.pop(event.send_id)
+        throttle = self._throttle(sent.service)
+        if event.status == 200:
+            throttle.note_success()
+        else:
+            throttle.note_failure()
+        self._feed_sent(now, sent, _read_reply(sent, event))
+        self._grant(now, sent.service)
+        return self._take_actions()
+
+    def fail(self, now: float, event: events.SendFailed) -> list[events.Action]:
+        """Take the failure of a sub-request."""
+        sent = self._sent.pop(event.send_id)
+        if event.bytes_sent:
+            self._throttle(sent.service).note_failure()
+        cause = _CAUSES[event.cause]
+        self._feed_sent(now, sent, attempts.Failed(sent.attempt, cause))
+        self._grant(now, sent.service)
+        return self._take_actions()
+
+    def wake(self, now: float) -> list[events.Action]:
+        """Handle timers that are due and parts that wait for a replica."""
+        while self._timers and self._timers[0][0] <= now:
+            _, answer_id = heapq.heappop(self._timers)
+            if answer_id in self._unplanned:
+                self._refuse_unplanned(answer_id)
+            active = self._active.get(answer_id)
+            if active is not None and active.wake_at <= now:
+                self._feed(now, active, attempts.Timer())
+        if now >= self._next_look:
+            self.look_again(now)
+        return self._take_actions()
+
+    def look_again(self, now: float) -> list[events.Action]:
+        """Plan waiting queries and offer replicas to waiting parts."""
+        self._next_look = float("inf")
+        for query in list(self._unplanned.values()):
+            self._plan_query(now, query)
+        for service in list(self._queues):
+            self._grant(now, service)
+        return self._take_actions()
+
+    # Planning.
+
+    def _find_refusal(self, now: float) -> errors.Failure | None:
+        kind = errors.ErrorKind
+        if self._store.configuration is None:
+            return errors.Failure(kind.NO_CONFIGURATION)
+        if not self._dispatcher.is_current(now):
+            return errors.Failure(kind.NOT_CURRENT)
+        if self.count() >= QUERIES_MAX:
+            return errors.Failure(kind.OVERLOADED, f"{QUERIES_MAX} queries in progress")
+        return None
+
+    def _plan_query(self, now: float, query: model.Query) -> None:
+        configuration = self._store.configuration
+        if configuration is None or query.service not in configuration.services:
+            return
+        plan = self._make_plan(configuration, query, {})
+        if plan is None:
+            self._schedule_look(now)
+            return
+        del self._unplanned[query.answer_id]
+        active = self._activate(query, configuration)
+        active.plan = plan
+        self._feed(now, active, attempts.Start(plan))
+
+    def _make_plan(
+        self,
+        configuration: model.Configuration,
+        query: model.Query,
+        lowest: typing.Mapping[str, int],
+    ) -> attempts.Plan | None:
+        parts = planner.list_parts(configuration, query)
+        held = {
+            index: self._dispatcher.table.versions(index)
+            for index in dict.fromkeys(part.index for part in parts)
+        }
+        versions = planner.pin_versions(configuration, parts, held, lowest)
+        if versions is None:
+            return None
+        return attempts.Plan(self._store.revision, parts, versions)
+
+    def _activate(
+        self, query: model.Query, configuration: model.Configuration
+    ) -> _Active:
+        floor = configuration.kinds[query.kind].floor
+        # The seed depends on the query alone, so a record can repeat it.
+        seed = random.Random(f"{self._seed} {query.answer_id}").getrandbits(32)
+        active = _Active(query, configuration, floor, seed, self._policy)
+        active.writer = self._open_record(active)
+        self._active[query.answer_id] = active
+        return active
+
+    def _open_record(self, active: _Active) -> records.RecordWriter:
+        store = self._store
+        header = records.Header(
+            query=active.query,
+            entry=self._dispatcher.identity.name,
+            incarnation=self._dispatcher.identity.incarnation,
+            revision=store.revision,
+            digest=store.digest,
+            members=self._list_members(),
+            floor=active.floor,
+            seed=active.seed,
+            policy=type(self._policy).__name__,
+        )
+        return records.RecordWriter(header)
+
+    def _refuse_unplanned(self, answer_id: str) -> None:
+        query = self._unplanned.pop(answer_id)
+        failure = errors.Failure(
+            errors.ErrorKind.NO_COMMON_VERSION, "no index version is known yet"
+        )
+        revision = self._store.revision
+        self._actions.append(_answer_failure(query, revision, failure))
+
+    # Decisions of scatter.
+
+    def _feed_sent(self, now: float, sent: _Sent, event: attempts.Event) -> None:
+        active = self._active.get(sent.answer_id)
+        if active is not None:
+            active.sends.pop(sent.attempt, None)
+            self._feed(now, active, event)
+
+    def _feed(self, now: float, active: _Active, event: attempts.Event) -> None:
+        """Feed an event, and every event that its decisions cause at once."""
+        pending = collections.deque([event])
+        while pending and not active.finished:
+            current = pending.popleft()
+            decisions = active.scatter.handle(now, current)
+            if active.writer is not None:
+                active.writer.add(now, current, decisions)
+            for decision in decisions:
+                follow_up = self._carry_out(now, active, decision)
+                if follow_up is not None:
+                    pending.append(follow_up)
+
+    def _carry_out(
+        self, now: float, active: _Active, decision: attempts.Decision
+    ) -> attempts.Event | None:
+        match decision:
+            case attempts.Choose():
+                active.purposes[decision.part] = decision.purpose
+                return self._make_view(now, active, decision.part, decision.purpose)
+            case attempts.Send():
+                return self._send(now, active, decision)
+            case attempts.Cancel():
+                self._cancel(now, active, decision.attempt)
+            case attempts.Wait():
+                self._queue(now, active, decision.part)
+            case attempts.WakeAt():
+                active.wake_at = decision.time
+                entry = (decision.time, active.query.answer_id)
+                heapq.heappush(self._timers, entry)
+            case attempts.Restart():
+                return attempts.Replan(self._replan(active))
+            case attempts.Finish():
+                self._finish(now, active, decision.outcome)
+        return None
+
+    def _make_view(
+        self, now: float, active: _Active, number: int, purpose: attempts.Purpose
+    ) -> attempts.View:
+        assert active.plan is not None
+        service = active.configuration.services[active.plan.parts[number].service]
+        candidates = tuple(
+            self._dispatcher.make_candidate(now, service, replica)
+            for replica in service.replicas
+        )
+        delay_s = self._dispatcher.table.hedge_delay(service.name)
+        return attempts.View(
+            number,
+            purpose,
+            candidates,
+            self._allows(service.name, purpose),
+            delay_s if len(candidates) > 1 else None,
+            max(ATTEMPT_TIMEOUT_MIN_S, ATTEMPT_TIMEOUT_FACTOR * delay_s),
+        )
+
+    def _allows(self, service: str, purpose: attempts.Purpose) -> bool:
+        if purpose is attempts.Purpose.HEDGE:
+            return self._hedges.can_take()
+        if purpose is attempts.Purpose.RETRY:
+            return self._throttle(service).allows_retry()
+        return True
+
+    def _send(
+        self, now: float, active: _Active, send: attempts.Send
+    ) -> attempts.Event | None:
+        assert active.plan is not None
+        part = active.plan.parts[send.part]
+        service = active.configuration.services[part.service]
+        # The state may have changed since the view, for example the permit is spent.
+        send_id = self._dispatcher.begin(now, service, send.address)
+        if send_id is None:
+            return attempts.Failed(send.attempt, attempts.Cause.NOT_SENT)
+        if send.purpose is attempts.Purpose.FIRST:
+            self._hedges.earn()
+        elif send.purpose is attempts.Purpose.HEDGE:
+            self._hedges.take()
+        active.sends[send.attempt] = send_id
+        if send.deadline < active.query.deadline:
+            active.timeouts[send.attempt] = send.deadline - now
+        self._sent[send_id] = _Sent(
+            active.query.answer_id, send.attempt, part.service, part.index
+        )
+        self._actions.append(_make_send(now, send_id, send, part, active.query))
+        self._actions.append(events.CountMetric(f"subrequest.{send.purpose.value}"))
+        return None
+
+    def _cancel(self, now: float, active: _Active, attempt: int) -> None:
+        send_id = active.sends.pop(attempt, None)
+        sent = None if send_id is None else self._sent.pop(send_id, None)
+        if send_id is None or sent is None:
+            return
+        self._actions.append(events.CancelSend(send_id))
+        self._actions += self._end_send(now, active, attempt, send_id)
+        self._schedule_look(now, 0.0)
+
+    def _end_send(
+        self, now: float, active: _Active, attempt: int, send_id: int
+    ) -> list[events.Action]:
+        """Account for a cancelled send; one past its timeout went silent."""
+        started = self._dispatcher.started_at(send_id)
+        limit_s = active.timeouts.pop(attempt, float("inf"))
+        if started is not None and now - started >= limit_s:
+            return self._dispatcher.end_timed_out(now, send_id)
+        return self._dispatcher.end_cancelled(now, send_id)
+
+    def _queue(self, now: float, active: _Active, part: int) -> None:
+        assert active.plan is not None
+        service = active.plan.parts[part].service
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = admission.AdmissionQueue(QUEUE_MAX, QUEUE_PER_KIND_MAX)
+            self._queues[service] = queue
+        item = (active.query.answer_id, part)
+        pushed = queue.push(now, item, active.query.kind, active.query.deadline)
+        if pushed.is_err():
+            # The part stays missing; the query says so at its deadline.
+            self._actions.append(events.CountMetric("queue.refused"))
+        self._schedule_look(now)
+
+    def _grant(self, now: float, service: str) -> None:
+        """Offer replicas to waiting parts until one finds none."""
+        queue = self._queues.get(service)
+        while queue:
+            item = queue.pop(now)
+            queue.expire(now)
+            if item is None:
+                break
+            active = self._active.get(item[0])
+            if active is None:
+                continue
+            before = len(queue)
+            view = self._make_view(now, active, item[1], active.purposes[item[1]])
+            self._feed(now, active, view)
+            if len(queue) > before:
+                break
+        if queue is not None and not queue:
+            self._queues.pop(service, None)
+
+    def _replan(self, active: _Active) -> attempts.Plan | None:
+        configuration = self._store.configuration
+        assert configuration is not None
+        assert active.plan is not None
+        if active.query.service not in configuration.services:
+            return None
+        lowest = dict(active.plan.versions)
+        plan = self._make_plan(configuration, active.query, lowest)
+        if plan is not None:
+            active.plan = plan
+            active.configuration = configuration
+        return plan
+
+    def _finish(self, now: float, active: _Active, outcome: attempts.Outcome) -> None:
+        revision = 0 if active.plan is None else active.plan.revision
+        answer_id = active.query.answer_id
+        self._actions.append(events.AnswerQuery(answer_id, revision, outcome))
+        self._close(now, active)
+
+    def _close(self, now: float, active: _Active) -> None:
+        active.finished = True
+        answer_id = active.query.answer_id
+        del self._active[answer_id]
+        for send_id in active.sends.values():
+            if self._sent.pop(send_id, None) is not None:
+                self._actions.append(events.CancelSend(send_id))
+                self._actions += self._dispatcher.end_cancelled(now, send_id)
+        if active.writer is not None:
+            data = active.writer.finish()
+            self._actions.append(events.WriteRecord(answer_id, data))
+
+    # Helpers.
+
+    def _throttle(self, service: str) -> budgets.RetryThrottle:
+        throttle = self._retries.get(service)
+        if throttle is None:
+            configuration = self._store.configuration
+            assert configuration is not None
+            throttle = budgets.RetryThrottle(configuration.policy.retry_tokens)
+            self._retries[service] = throttle
+        return throttle
+
+    def _schedule_look(self, now: float, delay_s: float = RETRY_DELAY_S) -> None:
+        self._next_look = min(self._next_look, now + delay_s)
+
+    def _take_actions(self) -> list[events.Action]:
+        actions, self._actions = self._actions, []
+        return actions
+
+
+def _answer_failure(
+    query: model.Query, revision: int, failure: errors.Failure
+) -> events.AnswerQuery:
+    outcome = attempts.Outcome(failure, (), (), (), 0, 0, ())
+    return events.AnswerQuery(query.answer_id, revision, outcome)
+
+
+def _make_send(
+    now: float,
+    send_id: int,
+    send: attempts.Send,
+    part: attempts.Part,
+    query: model.Query,
+) -> events.SendToServer:
+    timeout_s = send.deadline - now
+    ranges = ",".join(f"{keys.start}-{keys.end}" for keys in send.ranges)
+    headers = (
+        ("content-type", "application/json"),
+        ("x-request-id", send.request_id),
+        ("x-index", part.index),
+        ("x-index-version", str(send.version)),
+        ("x-partition-map", str(part.partition_map)),
+        ("x-key-ranges", ranges),
+        ("x-deadline-ms", str(max(1, int(timeout_s * 1000)))),
+    )
+    body: bodies.ServerQuery = {
+        "kind": query.kind.value,
+        "key": query.key,
+        "limit": query.limit,
+        "body": query.body,
+    }
+    return events.SendToServer(
+        send_id,
+        send.address,
+        "POST",
+        "/query",
+        headers,
+        bodies.encode(body),
+        timeout_s,
+    )
+
+
+def _read_reply(
+    sent: _Sent, event: events.ServerReplied
+) -> attempts.Reply | attempts.Failed:
+    """Turn the HTTP reply of a backend server into an event of scatter."""
+    versions = ((sent.index, max(event.news.versions, default=0)),)
+    if event.status == 503:
+        return attempts.Failed(
+            sent.attempt, attempts.Cause.SHED, versions, event.news.retry_after_s
+        )
+    if event.status == 409:
+        return attempts.Failed(sent.attempt, _read_conflict(event.body), versions)
+    if event.status != 200:
+        return attempts.Failed(sent.attempt, attempts.Cause.REFUSED, versions)
+    decoded = bodies.decode(event.body, bodies.ServerReply, True)
+    if isinstance(decoded, result.Err):
+        return attempts.Failed(sent.attempt, attempts.Cause.BAD_REPLY, versions)
+    reply = decoded.ok_value
+    return attempts.Reply(
+        sent.attempt,
+        reply["request_id"],
+        reply["index"],
+        reply["version"],
+        reply["partition_map"],
+        tuple(model.KeyRange(start, end) for start, end in reply["ranges"]),
+        tuple(reply["rows"]),
+        True,
+    )
+
+
+def _read_conflict(body: bytes) -> attempts.Cause:
+    decoded = bodies.decode(body, bodies.ServerError, True)
+    kind = "" if isinstance(decoded, result.Err) else decoded.ok_value["kind"]
+    if kind == "map_changed":
+        return attempts.Cause.MAP_CHANGED
+    if kind == "version_gone":
+        return attempts.Cause.VERSION_GONE
+    return attempts.Cause.REFUSED
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -227,21 +227,34 @@
         if int(headers.get("x-partition-map", "0")) != self.partition_map:
             return Reply(409, {"kind": "map_changed"})
         fields = json.loads(exchange.body)
-        start = max(int(headers["x-key-start"]), self.keys.start)
-        end = min(int(headers["x-key-end"]), self.keys.end)
-        if self.partial:
-            end = (start + end) // 2
+        ranges = self._clip(headers["x-key-ranges"])
         self.counters["queries_run"] += 1
         body = {
             "request_id": headers.get("x-request-id", ""),
             "index": self.service.index,
             "version": version,
             "partition_map": self.partition_map,
-            "ranges": [[start, end]],
-            "rows": _make_rows(start, end, version, fields),
+            "ranges": ranges,
+            "rows": [
+                row
+                for start, end in ranges
+                for row in _make_rows(start, end, version, fields)
+            ],
         }
         return None if self.losing_replies else Reply(200, body)
 
+    def _clip(self, text: str) -> list[tuple[int, int]]:
+        """Return the asked ranges that the server holds."""
+        clipped = []
+        for pair in text.split(","):
+            start, end = (int(number) for number in pair.split("-"))
+            start, end = max(start, self.keys.start), min(end, self.keys.end)
+            if self.partial:
+                end = (start + end) // 2
+            if start < end:
+                clipped.append((start, end))
+        return clipped
+
     def _control(self, fields: dict[str, typing.Any]) -> Reply:
         for name, value in fields.items():
             if name == "restart":
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from acacialatch import httpclient
+from acacialatch import events, httpclient
 
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 
@@ -57,7 +57,7 @@
     client = httpclient.PooledClient(lambda address: 3)
     address = await start(nursery, server)
     failed = await client.exchange(make_call(address, timeout_s=0.05))
-    assert failed == httpclient.Failed(httpclient.Cause.NO_REPLY, True, True)
+    assert failed == httpclient.Failed(events.SendCause.NO_REPLY, True, True)
     assert client.count_open(address) == 0
     reply = await client.exchange(make_call(address))
     assert isinstance(reply, httpclient.Reply)
@@ -79,7 +79,7 @@
     address = await start(nursery, ScriptedServer(reply))
     failed = await client.exchange(make_call(address))
     assert isinstance(failed, httpclient.Failed)
-    assert failed.cause is httpclient.Cause.BAD_REPLY
+    assert failed.cause is events.SendCause.BAD_REPLY
     assert client.count_open(address) == 0
 
 
@@ -90,7 +90,7 @@
     await listeners[0].aclose()
     client = httpclient.PooledClient(lambda address: 3)
     failed = await client.exchange(make_call(f"127.0.0.1:{port}"))
-    assert failed == httpclient.Failed(httpclient.Cause.CONNECT_REFUSED, False, True)
+    assert failed == httpclient.Failed(events.SendCause.CONNECT_REFUSED, False, True)
     assert client.count_open(f"127.0.0.1:{port}") == 0
 
 
