--- a/acacialatch/model.py
+++ b/acacialatch/model.py
@@ -124,6 +124,27 @@
     floor: tuple[int, int]
 
 
+class Policy(typing.NamedTuple):
+    """Limits that hold for the whole deployment.
+
+    Attributes
+    ----------
+    hedge_budget : tuple of int
+        Numerator and denominator of the share of sub-requests that may be hedged.
+    retry_tokens : int
+        Size of the token bucket that limits retries, in tokens.
+    key_lifetime_s : int
+        Lifetime of an idempotency key, in seconds.
+    entry_lifetime_s : int
+        Time for which callers may keep addresses of entry instances, in seconds.
+    """
+
+    hedge_budget: tuple[int, int] = (1, 20)
+    retry_tokens: int = 10
+    key_lifetime_s: int = 600
+    entry_lifetime_s: int = 2
+
+
 class Configuration(typing.NamedTuple):
     """A checked configuration text.
 
@@ -143,6 +164,8 @@
         Indexes by name.
     services : dict
         Services by name.
+    policy : Policy
+        Limits that hold for the whole deployment.
     """
 
     title: str
@@ -152,6 +175,7 @@
     kinds: dict[QueryKind, KindPolicy]
     indexes: dict[str, Index]
     services: dict[str, Service]
+    policy: Policy = Policy()
 
     def list_leaves(self, name: str) -> tuple[Service, ...]:
         """Return the leaf services that `name` reaches, in order of the text.
