--- /dev/null
+++ b/acacialatch/budgets.py
@@ -0,0 +1,125 @@
+"""Budgets that bound hedges and retries.
+
+Both budgets count in integers, so no rounding error accumulates over a long run.
+Neither depends on time: the bounds hold in any window, the worst second included.
+"""
+
+HEDGE_NUMERATOR = 5
+HEDGE_DENOMINATOR = 100
+# One query of 59 sub-requests earns about 3 tokens. At 8,500 sub-requests a second
+# (the two-year size) a burst of 5 adds 0.06% to the 5% of the worst second.
+HEDGE_DEPTH = 5
+
+# Values of gRPC A6: a failure costs 1 token, a success returns 0.1.
+RETRY_TOKENS = 10
+_UNITS_PER_TOKEN = 10
+_UNITS_PER_SUCCESS = 1
+
+
+class TokenBucket:
+    """Bucket that earns a fraction of a token for each sub-request.
+
+    For any run of consecutive calls in which `earn` counted `n` sub-requests, the
+    number of successful `take` calls is at most `depth + n * numerator / denominator`.
+    The bucket starts empty, so from the start of the process the bound is
+    `n * numerator / denominator`.
+
+    Hedges must not be passed to `earn`: they would earn further hedges.
+
+    Parameters
+    ----------
+    numerator, denominator : int
+        Fraction of a token earned for each sub-request.
+    depth : int
+        Most whole tokens that the bucket holds.
+
+    Raises
+    ------
+    ValueError
+        If the fraction is not between 0 and 1 or the depth is below 1.
+    """
+
+    def __init__(
+        self,
+        numerator: int = HEDGE_NUMERATOR,
+        denominator: int = HEDGE_DENOMINATOR,
+        depth: int = HEDGE_DEPTH,
+    ) -> None:
+        if denominator < 1 or not 0 <= numerator <= denominator:
+            raise ValueError("The fraction must be between 0 and 1.")
+        if depth < 1:
+            raise ValueError("The depth must be at least 1 token.")
+        self._earned = numerator
+        self._token = denominator
+        self._depth = depth * denominator
+        self._units = 0
+
+    @property
+    def tokens(self) -> float:
+        """Tokens in the bucket, as a number from 0 to the depth."""
+        return self._units / self._token
+
+    def earn(self, count: int = 1) -> None:
+        """Add the fraction for `count` first sends of sub-requests."""
+        self._units = min(self._depth, self._units + count * self._earned)
+
+    def can_take(self) -> bool:
+        """Return whether `take` would succeed."""
+        return self._units >= self._token
+
+    def take(self) -> bool:
+        """Take one whole token if there is one.
+
+        Returns
+        -------
+        bool
+            Whether the extra sub-request may be sent.
+        """
+        if not self.can_take():
+            return False
+        self._units -= self._token
+        return True
+
+
+class RetryThrottle:
+    """Throttle of retries in the manner of gRPC A6.
+
+    A failure costs 1 token and a success returns 0.1 token. A retry is allowed only
+    while the bucket is more than half full. If every retry is preceded by
+    `note_failure` for the failure that causes it, then over any run of calls with `s`
+    successes at most `tokens / 2 + s / 10` retries are allowed; with no success at
+    most `tokens / 2`, however long the outage lasts.
+
+    Parameters
+    ----------
+    tokens : int
+        Size of the bucket. It starts full.
+
+    Raises
+    ------
+    ValueError
+        If `tokens` is below 1.
+    """
+
+    def __init__(self, tokens: int = RETRY_TOKENS) -> None:
+        if tokens < 1:
+            raise ValueError("The bucket must hold at least 1 token.")
+        self._full = tokens * _UNITS_PER_TOKEN
+        self._units = self._full
+
+    @property
+    def tokens(self) -> float:
+        """Tokens in the bucket, as a number from 0 to the size."""
+        return self._units / _UNITS_PER_TOKEN
+
+    def note_success(self) -> None:
+        """Return 0.1 token for a sub-request that was answered."""
+        self._units = min(self._full, self._units + _UNITS_PER_SUCCESS)
+
+    def note_failure(self) -> None:
+        """Take 1 token for a sub-request that failed, retries included."""
+        self._units = max(0, self._units - _UNITS_PER_TOKEN)
+
+    def allows_retry(self) -> bool:
+        """Return whether the failure just noted may be retried."""
+        return 2 * self._units > self._full
--- /dev/null
+++ b/tests/test_budgets.py
@@ -0,0 +1,90 @@
+"""Tests for acacialatch.budgets."""
+
+import hypothesis
+from hypothesis import strategies
+
+from acacialatch import budgets
+
+BOUNDED = hypothesis.settings(
+    derandomize=True, database=None, deadline=None, max_examples=200
+)
+
+
+def count_worst_excess(steps, weight):
+    """Return the largest sum of `weight(step)` over any run of consecutive steps."""
+    worst = current = 0
+    for step in steps:
+        current = max(0, current + weight(step))
+        worst = max(worst, current)
+    return worst
+
+
+@BOUNDED
+@hypothesis.given(
+    strategies.lists(strategies.integers(0, 400), max_size=200),
+    strategies.integers(1, 8),
+)
+def test_hedges_are_bounded_in_every_window(steps, depth):
+    """Guards against hedges saved up in a quiet period and sent in one second."""
+    bucket = budgets.TokenBucket(5, 100, depth)
+    seen = []
+    for count in steps:
+        bucket.earn(count)
+        seen.append(("earn", count))
+        while bucket.take():
+            seen.append(("take", 1))
+        hypothesis.event("tokens taken" if seen[-1][0] == "take" else "none")
+    # In hundredths of a token: each take weighs 100, each sub-request pays 5.
+    units = {"earn": -5, "take": 100}
+    worst = count_worst_excess(seen, lambda step: units[step[0]] * step[1])
+    assert worst <= depth * 100
+
+
+def test_idle_bucket_holds_no_more_than_its_depth():
+    """Guards against a burst of hedges after a long run without stragglers."""
+    bucket = budgets.TokenBucket(5, 100, depth=3)
+    bucket.earn(100_000)
+    assert [bucket.take() for _ in range(5)] == [True, True, True, False, False]
+
+
+def test_bucket_earns_exactly_the_fraction():
+    """Guards against rounding errors that add up to more than 5%."""
+    bucket = budgets.TokenBucket(5, 100, depth=2)
+    taken = 0
+    for _ in range(100_000):
+        bucket.earn()
+        taken += bucket.take()
+    assert taken == 5_000
+
+
+@BOUNDED
+@hypothesis.given(
+    strategies.lists(strategies.booleans(), max_size=300), strategies.integers(1, 20)
+)
+def test_retries_are_bounded_in_every_window(outcomes, tokens):
+    """Guards against retries that multiply the load while servers fail."""
+    throttle = budgets.RetryThrottle(tokens)
+    seen = []
+    for succeeded in outcomes:
+        if succeeded:
+            throttle.note_success()
+            seen.append(-1)
+        else:
+            throttle.note_failure()
+            seen.append(10 if throttle.allows_retry() else 0)
+    assert count_worst_excess(seen, lambda units: units) <= tokens * 10 // 2
+
+
+def test_outage_leaves_no_retries_behind():
+    """Guards against a pile-up of retries when servers return after an outage."""
+    throttle = budgets.RetryThrottle(10)
+    allowed = 0
+    for _ in range(10_000):
+        throttle.note_failure()
+        allowed += throttle.allows_retry()
+    assert allowed == 4
+    successes = 0
+    while not throttle.allows_retry():
+        throttle.note_success()
+        successes += 1
+    assert successes == 51
