--- /dev/null
+++ b/acacialatch/attempts.py
@@ -0,0 +1,329 @@
+"""Plans, events, decisions and attempts of one query."""
+
+import enum
+import typing
+
+from acacialatch import errors, model, routing
+
+Versions: typing.TypeAlias = tuple[tuple[str, int], ...]
+"""Pairs of index name and index version, each index once."""
+
+
+class Purpose(enum.Enum):
+    """Why a replica is chosen."""
+
+    FIRST = "first"
+    HEDGE = "hedge"
+    RETRY = "retry"
+
+
+class Cause(enum.Enum):
+    """Closed list of causes for which an attempt fails."""
+
+    CONNECT_FAILED = "connect_failed"
+    TIMEOUT = "timeout"
+    CONNECTION_LOST = "connection_lost"
+    SHED = "shed"
+    VERSION_GONE = "version_gone"
+    MAP_CHANGED = "map_changed"
+    REFUSED = "refused"
+    BAD_REPLY = "bad_reply"
+    NOT_SENT = "not_sent"
+
+
+SNAPSHOT_CAUSES = frozenset({Cause.VERSION_GONE, Cause.MAP_CHANGED})
+"""Causes which say that the replica cannot serve the pinned snapshot."""
+
+
+class Part(typing.NamedTuple):
+    """The key range of one leaf service in a plan.
+
+    Attributes
+    ----------
+    service : str
+        Name of the leaf service; each service occurs once in a plan.
+    index : str
+        Name of its index.
+    keys : model.KeyRange
+        Keys to read. For a lookup, the engine plans only the key itself.
+    partition_map : int
+        Number of the pinned partition map of the index.
+    """
+
+    service: str
+    index: str
+    keys: model.KeyRange
+    partition_map: int
+
+
+class Plan(typing.NamedTuple):
+    """What one query reads: one snapshot of each index.
+
+    Attributes
+    ----------
+    revision : int
+        Pinned configuration revision.
+    parts : tuple of Part
+        Parts, numbered by their position.
+    versions : tuple
+        Pinned version of each index.
+    """
+
+    revision: int
+    parts: tuple[Part, ...]
+    versions: Versions
+
+
+class Start(typing.NamedTuple):
+    """The query starts with a plan."""
+
+    plan: Plan
+
+
+class View(typing.NamedTuple):
+    """The replicas of a part at the time of a choice.
+
+    Attributes
+    ----------
+    part : int
+        Number of the part in the plan.
+    purpose : Purpose
+        Purpose of the `Choose` that is answered.
+    candidates : tuple of routing.Candidate
+        Replicas of the leaf service.
+    budget_allows : bool
+        Whether the hedge or retry budget allows one more attempt.
+    hedge_delay_s : float or None
+        Delay before a hedge, in seconds; None for no hedge.
+    attempt_timeout_s : float
+        Longest time to wait for one attempt, in seconds.
+    """
+
+    part: int
+    purpose: Purpose
+    candidates: tuple[routing.Candidate, ...]
+    budget_allows: bool
+    hedge_delay_s: float | None
+    attempt_timeout_s: float
+
+
+class Reply(typing.NamedTuple):
+    """A reply of a backend server.
+
+    Attributes
+    ----------
+    attempt : int
+        Attempt on whose connection the reply arrived.
+    request_id, index, version, partition_map
+        Values that the reply carries.
+    ranges : tuple of model.KeyRange
+        Key ranges that the reply covers.
+    rows : sequence
+        Rows of all these ranges.
+    whole : bool
+        Whether the body arrived whole.
+    """
+
+    attempt: int
+    request_id: str
+    index: str
+    version: int
+    partition_map: int
+    ranges: tuple[model.KeyRange, ...]
+    rows: typing.Sequence[typing.Any]
+    whole: bool
+
+
+class Failed(typing.NamedTuple):
+    """An attempt ended without a reply.
+
+    Attributes
+    ----------
+    attempt : int
+        Number of the attempt.
+    cause : Cause
+        Why it failed.
+    versions : tuple
+        Index versions that the backend server holds, if it named them.
+    retry_after_s : float
+        Time for which the backend server asks for no request, in seconds.
+    """
+
+    attempt: int
+    cause: Cause
+    versions: Versions = ()
+    retry_after_s: float = 0.0
+
+
+class Timer(typing.NamedTuple):
+    """The time of the last `WakeAt` has come."""
+
+
+class Replan(typing.NamedTuple):
+    """The answer to `Restart`; None if no newer snapshot is known."""
+
+    plan: Plan | None
+
+
+class CallerGone(typing.NamedTuple):
+    """The caller closed its connection."""
+
+
+Event: typing.TypeAlias = Start | View | Reply | Failed | Timer | Replan | CallerGone
+
+
+class Choose(typing.NamedTuple):
+    """Asks the engine for a `View`, fed back at once."""
+
+    part: int
+    purpose: Purpose
+
+
+class Send(typing.NamedTuple):
+    """Sends a sub-request.
+
+    Attributes
+    ----------
+    part : int
+        Number of the part in the plan.
+    attempt : int
+        Number of the attempt, never used twice in one query.
+    address : str
+        Address of the backend server.
+    purpose : Purpose
+        Why it is sent.
+    request_id : str
+        Identifier that the reply must carry.
+    version : int
+        Index version that the reply must carry.
+    deadline : float
+        Time after which the attempt is given up, in seconds.
+    ranges : tuple of model.KeyRange
+        Keys to read; fewer than the part after a partial reply.
+    """
+
+    part: int
+    attempt: int
+    address: str
+    purpose: Purpose
+    request_id: str
+    version: int
+    deadline: float
+    ranges: tuple[model.KeyRange, ...]
+
+
+class Cancel(typing.NamedTuple):
+    """Cancels an attempt and closes its connection if it still runs."""
+
+    attempt: int
+
+
+class Wait(typing.NamedTuple):
+    """Queues a part until the engine feeds another `View` for it."""
+
+    part: int
+
+
+class WakeAt(typing.NamedTuple):
+    """Asks for a `Timer` at a time in seconds; replaces the earlier request."""
+
+    time: float
+
+
+class Restart(typing.NamedTuple):
+    """Asks for a `Replan` at newer versions; queued parts stay queued."""
+
+    reason: str
+
+
+class Missing(typing.NamedTuple):
+    """A key range that the answer does not cover, and why."""
+
+    service: str
+    keys: model.KeyRange
+    reason: str
+
+
+class Outcome(typing.NamedTuple):
+    """The answer to a query.
+
+    Attributes
+    ----------
+    failure : errors.Failure or None
+        Error to answer with; None for an answer with rows.
+    rows : tuple
+        Rows in the order of parts and keys, at most the limit of the query.
+    sources : tuple
+        Pairs of attempt and number of rows taken from it, in the order of rows.
+    versions : tuple
+        Version of each index.
+    covered, total : int
+        True coverage, in keys.
+    missing : tuple of Missing
+        Ranges that are not covered.
+    """
+
+    failure: errors.Failure | None
+    rows: tuple[typing.Any, ...]
+    sources: tuple[tuple[int, int], ...]
+    versions: Versions
+    covered: int
+    total: int
+    missing: tuple[Missing, ...]
+
+
+class Finish(typing.NamedTuple):
+    """Ends the query."""
+
+    outcome: Outcome
+
+
+Decision: typing.TypeAlias = Choose | Send | Cancel | Wait | WakeAt | Restart | Finish
+
+
+class Attempt(typing.NamedTuple):
+    """A sub-request in progress."""
+
+    number: int
+    part: int
+    address: str
+    purpose: Purpose
+    request_id: str
+    version: int
+    deadline: float
+
+
+def check_reply(reply: Reply, attempt: Attempt, part: Part) -> tuple[Cause, str] | None:
+    """Compare a reply with the attempt that it must answer.
+
+    Returns
+    -------
+    tuple or None
+        Cause and text of the first difference; None if the reply is verified.
+    """
+    if reply.request_id != attempt.request_id:
+        return Cause.BAD_REPLY, f"request_id is {reply.request_id!r}"
+    if not reply.whole:
+        return Cause.BAD_REPLY, "body is cut short"
+    if reply.index != part.index:
+        return Cause.BAD_REPLY, f"index is {reply.index!r}"
+    if reply.version != attempt.version:
+        return Cause.VERSION_GONE, f"version is {reply.version}"
+    if reply.partition_map != part.partition_map:
+        return Cause.MAP_CHANGED, f"partition map is {reply.partition_map}"
+    return _check_ranges(reply.ranges, part.keys)
+
+
+def _check_ranges(
+    ranges: tuple[model.KeyRange, ...], keys: model.KeyRange
+) -> tuple[Cause, str] | None:
+    # Rows are not tied to single ranges, so overlapping ranges in one reply may
+    # mean doubled rows; such a reply is rejected as a whole.
+    if not ranges:
+        return Cause.BAD_REPLY, "no range is covered"
+    position = keys.start
+    for start, end in sorted(ranges):
+        if start < position or start >= end or end > keys.end:
+            return Cause.BAD_REPLY, f"range {start}-{end} is empty, doubled or outside"
+        position = end
+    return None
--- a/acacialatch/errors.py
+++ b/acacialatch/errors.py
@@ -34,6 +34,7 @@
     KEY_EXPIRED = "key_expired"
     NOT_RUN = "not_run"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    CALLER_GONE = "caller_gone"
     INTERNAL = "internal"
 
 
@@ -138,6 +139,12 @@
         False,
         "A backend server may or may not have run the request.",
     ),
+    ErrorKind.CALLER_GONE: Answer(
+        499,
+        RunState.NOT_APPLICABLE,
+        False,
+        "The caller closed its connection before the answer.",
+    ),
     ErrorKind.INTERNAL: Answer(
         500, RunState.UNKNOWN, False, "An internal error occurred."
     ),
--- /dev/null
+++ b/acacialatch/parts.py
@@ -0,0 +1,142 @@
+"""Progress of one part of a query: replicas tried, attempts and rows."""
+
+import typing
+
+from acacialatch import attempts, model, routing
+
+NOT_ASKED = "not_asked"
+NO_REPLY_YET = "no_reply_yet"
+NO_USABLE_REPLICA = "no_usable_replica"
+RETRY_BUDGET = "retry_budget"
+PARTIAL_REPLY = "partial_reply"
+
+
+class Piece(typing.NamedTuple):
+    """Rows of one verified reply and the ranges to which they belong."""
+
+    attempt: int
+    ranges: tuple[model.KeyRange, ...]
+    rows: typing.Sequence[typing.Any]
+
+
+class Progress:
+    """State of one part in the current plan.
+
+    Attributes
+    ----------
+    number : int
+        Number of the part.
+    spec : attempts.Part
+        The part itself.
+    pieces : list of Piece
+        Verified replies with disjoint ranges.
+    running : dict
+        Attempts in progress by number.
+    expects : attempts.Purpose or None
+        Purpose of the `View` that is awaited.
+    hedged : bool
+        Whether the hedge of this part has been sent.
+    sent : int
+        Attempts that may have reached a replica.
+    tries : int
+        Unsuccessful attempts and refusals since the last progress.
+    retry_at : float or None
+        Time of the next retry, in seconds.
+    gone : set of str
+        Replicas that cannot serve the pinned snapshot.
+    reason : str
+        Why the part is incomplete.
+    """
+
+    def __init__(self, number: int, spec: attempts.Part) -> None:
+        self.number = number
+        self.spec = spec
+        self.pieces: list[Piece] = []
+        self.running: dict[int, attempts.Attempt] = {}
+        self.expects: attempts.Purpose | None = None
+        self.hedged = False
+        self.sent = 0
+        self.tries = 0
+        self.retry_at: float | None = None
+        self.gone: set[str] = set()
+        self.reason = NOT_ASKED
+        self._failed: list[str] = []
+        self._not_before: dict[str, float] = {}
+
+    def next_purpose(self) -> attempts.Purpose:
+        """Return the purpose of the next attempt if none is running."""
+        return attempts.Purpose.RETRY if self.sent else attempts.Purpose.FIRST
+
+    def describe_gap(self) -> str:
+        """Return why the rest of the part is missing."""
+        return NO_REPLY_YET if self.running else self.reason
+
+    def avoid(self, address: str, until: float) -> None:
+        """Prefer other replicas, and exclude this one until a time in seconds."""
+        if address in self._failed:
+            self._failed.remove(address)
+        self._failed.append(address)
+        self._not_before[address] = until
+
+    def next_allowed(self, now: float) -> float | None:
+        """Return when the next replica may be asked again, in seconds, or None."""
+        return min((t for t in self._not_before.values() if t > now), default=None)
+
+    def list_eligible(self, now: float, view: attempts.View) -> list[routing.Candidate]:
+        """Return the candidates that may be sent to now, the preferred ones only.
+
+        Replicas that failed come after all others, the last one to fail last. A
+        hedge goes to no replica that failed.
+        """
+        busy = {attempt.address for attempt in self.running.values()}
+        allowed = [
+            candidate
+            for candidate in view.candidates
+            if candidate.usable
+            and candidate.address not in busy
+            and candidate.address not in self.gone
+            and self._not_before.get(candidate.address, now) <= now
+        ]
+        fresh = [c for c in allowed if c.address not in self._failed]
+        if fresh or view.purpose is attempts.Purpose.HEDGE:
+            return fresh
+        return [c for c in allowed if c.address != self._failed[-1]] or allowed
+
+    def accept(self, reply: attempts.Reply) -> bool:
+        """Add a verified reply; return whether its rows were taken.
+
+        Rows belong to their whole reply. A reply that shares keys with earlier
+        ones is taken only if it contains them entirely and adds keys; it then
+        replaces their rows, so that no row is doubled.
+        """
+        kept, replaced = [], []
+        for piece in self.pieces:
+            (replaced if _overlap(piece.ranges, reply.ranges) else kept).append(piece)
+        sizes = sum(keys.size() for piece in replaced for keys in piece.ranges)
+        if not all(_contains(reply.ranges, piece.ranges) for piece in replaced):
+            return False
+        if sizes == sum(keys.size() for keys in reply.ranges):
+            return False
+        self.pieces = [*kept, Piece(reply.attempt, reply.ranges, reply.rows)]
+        self.pieces.sort(key=lambda piece: min(piece.ranges))
+        return True
+
+
+def _overlap(
+    left: tuple[model.KeyRange, ...], right: tuple[model.KeyRange, ...]
+) -> bool:
+    return any(a.start < b.end and b.start < a.end for a in left for b in right)
+
+
+def _contains(
+    outer: tuple[model.KeyRange, ...], inner: tuple[model.KeyRange, ...]
+) -> bool:
+    merged: list[model.KeyRange] = []
+    for keys in sorted(outer):
+        if merged and merged[-1].end == keys.start:
+            merged[-1] = model.KeyRange(merged[-1].start, keys.end)
+        else:
+            merged.append(keys)
+    return all(
+        any(o.start <= i.start and i.end <= o.end for o in merged) for i in inner
+    )
--- /dev/null
+++ b/acacialatch/scatter.py
@@ -0,0 +1,473 @@
+"""One query from its start to its answer, as a pure state machine."""
+
+import heapq
+import itertools
+import random
+import typing
+
+from acacialatch import attempts, coverage, errors, model, parts, plans, routing
+
+RETRY_DELAY_BASE_S = 0.01
+"""First retry delay, in seconds; longer than one round trip between zones."""
+
+RETRY_DELAY_MAX_S = 0.5
+"""Longest retry delay, in seconds."""
+
+RETRY_DELAY_MIN_S = 0.001
+"""Shortest retry delay near the deadline, in seconds; bounds the attempts."""
+
+RESTARTS_MAX = 3
+"""Most restarts at a newer snapshot, each of which repeats all sub-requests."""
+
+_ATTEMPT, _HEDGE, _RETRY = range(3)
+
+
+class Scatter:
+    """State of one query.
+
+    The engine feeds events in the order in which they happen and carries out the
+    returned decisions in their order. After `Finish`, every event is ignored.
+
+    Parameters
+    ----------
+    query : model.Query
+        The query; its deadline is on the clock of `handle`.
+    floor : tuple of int
+        Numerator and denominator of the smallest coverage of a full page.
+    seed : int
+        Seed of retry jitter and of ties between replicas.
+    policy : routing.ReplicaPolicy, optional
+        Choice of replicas; `routing.LeastLoaded` by default.
+
+    Raises
+    ------
+    ValueError
+        If the floor is not a fraction between 0 and 1.
+    """
+
+    def __init__(
+        self,
+        query: model.Query,
+        floor: tuple[int, int],
+        seed: int,
+        policy: routing.ReplicaPolicy | None = None,
+    ) -> None:
+        if not 0 <= floor[0] <= floor[1] or floor[1] == 0:
+            raise ValueError(f"floor {floor} is not a fraction between 0 and 1")
+        self._query = query
+        self._floor = floor
+        self._seed = seed
+        self._policy = policy or routing.LeastLoaded()
+        self._plan = attempts.Plan(0, (), ())
+        self._started = False
+        self._finished = False
+        self._restarts = 0
+        self._replanning = False
+        self._no_newer = False
+        self._parts: list[parts.Progress] = []
+        self._coverage = coverage.Coverage(())
+        self._rows = 0
+        self._running: dict[int, attempts.Attempt] = {}
+        self._numbers = itertools.count(1)
+        self._timers: list[tuple[float, int, int, int]] = []
+        self._timer_numbers = itertools.count()
+        self._armed: float | None = None
+        self._decisions: list[attempts.Decision] = []
+
+    @property
+    def finished(self) -> bool:
+        """Whether `Finish` has been decided."""
+        return self._finished
+
+    def handle(self, now: float, event: attempts.Event) -> list[attempts.Decision]:
+        """Take an event and return the decisions that follow from it.
+
+        Parameters
+        ----------
+        now : float
+            Time of the event, in seconds.
+        event : attempts.Event
+            What happened.
+        """
+        if self._finished:
+            return []
+        if isinstance(event, attempts.CallerGone):
+            self._finish(errors.Failure(errors.ErrorKind.CALLER_GONE))
+        elif now >= self._query.deadline:
+            self._finish_at_deadline()
+        else:
+            self._dispatch(now, event)
+            self._arm()
+        decisions, self._decisions = self._decisions, []
+        return decisions
+
+    def _dispatch(self, now: float, event: attempts.Event) -> None:
+        match event:
+            case attempts.Start():
+                self._start(now, event.plan)
+            case attempts.View():
+                self._view(now, event)
+            case attempts.Reply():
+                self._reply(now, event)
+            case attempts.Failed():
+                self._failed(now, event)
+            case attempts.Timer():
+                self._timer(now)
+            case attempts.Replan():
+                self._replan(now, event.plan)
+
+    def _start(self, now: float, plan: attempts.Plan) -> None:
+        if self._started:
+            return
+        problem = plans.check_plan(plan)
+        if problem is not None:
+            self._finish(errors.Failure(errors.ErrorKind.INTERNAL, f"plan: {problem}"))
+            return
+        self._started = True
+        self._adopt(plan)
+
+    def _adopt(self, plan: attempts.Plan) -> None:
+        self._plan = plan
+        versions = dict(plan.versions)
+        self._versions = versions
+        self._parts = [parts.Progress(*item) for item in enumerate(plan.parts)]
+        self._coverage = coverage.Coverage((p.service, p.keys) for p in plan.parts)
+        self._rows = 0
+        self._timers.clear()
+        for part in self._parts:
+            self._ask(part)
+        self._check_complete()
+
+    def _ask(self, part: parts.Progress) -> None:
+        part.retry_at = None
+        part.expects = part.next_purpose()
+        self._decide(attempts.Choose(part.number, part.expects))
+
+    def _decide(self, decision: attempts.Decision) -> None:
+        self._decisions.append(decision)
+
+    # Choice of replicas.
+
+    def _view(self, now: float, view: attempts.View) -> None:
+        if not 0 <= view.part < len(self._parts):
+            return
+        part = self._parts[view.part]
+        if part.expects is not view.purpose:
+            return
+        part.expects = None
+        eligible = part.list_eligible(now, view)
+        if view.purpose is attempts.Purpose.HEDGE:
+            if eligible and view.budget_allows and part.running:
+                part.hedged = True
+                self._send(now, part, view, eligible)
+        elif not eligible:
+            self._lack_replica(now, part, view)
+        elif view.purpose is attempts.Purpose.RETRY and not view.budget_allows:
+            part.reason = parts.RETRY_BUDGET
+            self._retry_later(now, part)
+        else:
+            self._send(now, part, view, eligible)
+
+    def _send(
+        self,
+        now: float,
+        part: parts.Progress,
+        view: attempts.View,
+        eligible: list[routing.Candidate],
+    ) -> None:
+        chosen = self._policy.choose(eligible, self._seed)
+        if chosen is None:
+            self._lack_replica(now, part, view)
+            return
+        number = next(self._numbers)
+        attempt = attempts.Attempt(
+            number,
+            part.number,
+            eligible[chosen].address,
+            view.purpose,
+            f"{self._query.answer_id}-{number}",
+            self._versions[part.spec.index],
+            min(self._query.deadline, now + view.attempt_timeout_s),
+        )
+        self._running[number] = part.running[number] = attempt
+        part.sent += 1
+        self._set_timer(attempt.deadline, _ATTEMPT, number)
+        if view.hedge_delay_s is not None and not part.hedged:
+            self._set_timer(now + view.hedge_delay_s, _HEDGE, number)
+        ranges = self._coverage.missing_of(part.spec.service)
+        self._decide(attempts.Send(*_send_fields(attempt), ranges))
+
+    def _lack_replica(
+        self, now: float, part: parts.Progress, view: attempts.View
+    ) -> None:
+        if view.purpose is attempts.Purpose.HEDGE:
+            return
+        if part.gone:
+            self._leave_snapshot(now, part, view)
+            return
+        part.reason = parts.NO_USABLE_REPLICA
+        allowed_at = part.next_allowed(now)
+        if allowed_at is not None and any(c.usable for c in view.candidates):
+            self._retry_at(part, allowed_at)
+            return
+        part.expects = view.purpose
+        self._decide(attempts.Wait(part.number))
+
+    # Replies and failures.
+
+    def _reply(self, now: float, reply: attempts.Reply) -> None:
+        attempt = self._running.get(reply.attempt)
+        if attempt is None:
+            return
+        part = self._parts[attempt.part]
+        rejection = attempts.check_reply(reply, attempt, part.spec)
+        self._end(attempt)
+        if rejection is not None:
+            self._decide(attempts.Cancel(attempt.number))
+            self._note_failure(now, part, attempt, rejection[0])
+        elif self._accept(part, reply):
+            self._continue_part(now, part, attempt)
+        else:
+            self._note_failure(now, part, attempt, attempts.Cause.BAD_REPLY)
+
+    def _accept(self, part: parts.Progress, reply: attempts.Reply) -> bool:
+        before = sum(len(piece.rows) for piece in part.pieces)
+        if not part.accept(reply):
+            return False
+        for keys in reply.ranges:
+            self._coverage.add(part.spec.service, keys).unwrap()
+        self._rows += sum(len(piece.rows) for piece in part.pieces) - before
+        return True
+
+    def _continue_part(
+        self, now: float, part: parts.Progress, attempt: attempts.Attempt
+    ) -> None:
+        if not self._coverage.missing_of(part.spec.service):
+            for other in list(part.running.values()):
+                self._cancel(other)
+        else:
+            part.reason = parts.PARTIAL_REPLY
+            part.tries = 0
+            part.avoid(attempt.address, now)
+            self._retry(now, part)
+        self._check_complete()
+
+    def _failed(self, now: float, event: attempts.Failed) -> None:
+        attempt = self._running.get(event.attempt)
+        if attempt is None:
+            return
+        part = self._parts[attempt.part]
+        self._end(attempt)
+        if event.cause is attempts.Cause.NOT_SENT:
+            part.sent -= 1
+        self._note_failure(now, part, attempt, event.cause, event.retry_after_s)
+
+    def _note_failure(
+        self,
+        now: float,
+        part: parts.Progress,
+        attempt: attempts.Attempt,
+        cause: attempts.Cause,
+        retry_after_s: float = 0.0,
+    ) -> None:
+        part.reason = cause.value
+        if cause in attempts.SNAPSHOT_CAUSES:
+            part.gone.add(attempt.address)
+            if not part.running:
+                self._ask(part)
+            return
+        part.avoid(attempt.address, now + retry_after_s)
+        self._retry(now, part)
+
+    def _end(self, attempt: attempts.Attempt) -> None:
+        del self._running[attempt.number]
+        del self._parts[attempt.part].running[attempt.number]
+
+    def _cancel(self, attempt: attempts.Attempt) -> None:
+        self._end(attempt)
+        self._decide(attempts.Cancel(attempt.number))
+
+    # Retries and timers.
+
+    def _retry(self, now: float, part: parts.Progress) -> None:
+        if part.running:
+            # The attempts in progress were asked for all that is still missing.
+            return
+        is_lookup = self._query.kind is model.QueryKind.LOOKUP
+        if part.tries == 0 and not is_lookup:
+            part.tries = 1
+            self._ask(part)
+        else:
+            self._retry_later(now, part)
+
+    def _retry_later(self, now: float, part: parts.Progress) -> None:
+        part.tries += 1
+        growth = 2 ** min(part.tries - 1, 16)
+        jitter = random.Random(f"{self._seed}/{part.number}/{part.tries}")
+        delay = min(RETRY_DELAY_MAX_S, RETRY_DELAY_BASE_S * growth)
+        delay *= jitter.uniform(0.5, 1.0)
+        # Halving the remaining time keeps retries going up to the deadline.
+        delay = min(delay, (self._query.deadline - now) / 2)
+        self._retry_at(part, now + max(delay, RETRY_DELAY_MIN_S))
+
+    def _retry_at(self, part: parts.Progress, time: float) -> None:
+        part.retry_at = time
+        self._set_timer(time, _RETRY, part.number)
+
+    def _set_timer(self, time: float, kind: int, number: int) -> None:
+        entry = (time, next(self._timer_numbers), kind, number)
+        heapq.heappush(self._timers, entry)
+
+    def _is_due(self, time: float, kind: int, number: int) -> bool:
+        if kind == _RETRY:
+            return self._parts[number].retry_at == time
+        return number in self._running
+
+    def _timer(self, now: float) -> None:
+        self._armed = None
+        while self._timers and self._timers[0][0] <= now:
+            time, _, kind, number = heapq.heappop(self._timers)
+            if not self._is_due(time, kind, number):
+                continue
+            if kind == _RETRY:
+                self._ask(self._parts[number])
+            elif kind == _HEDGE:
+                self._hedge(self._parts[self._running[number].part])
+            else:
+                self._time_out(now, self._running[number])
+
+    def _hedge(self, part: parts.Progress) -> None:
+        if not part.hedged:
+            part.expects = attempts.Purpose.HEDGE
+            self._decide(attempts.Choose(part.number, part.expects))
+
+    def _time_out(self, now: float, attempt: attempts.Attempt) -> None:
+        self._cancel(attempt)
+        part = self._parts[attempt.part]
+        self._note_failure(now, part, attempt, attempts.Cause.TIMEOUT)
+
+    def _arm(self) -> None:
+        """Ask for a timer if the next one is earlier than the one asked for."""
+        if self._finished:
+            return
+        while self._timers and not self._is_due(
+            self._timers[0][0], *self._timers[0][2:]
+        ):
+            heapq.heappop(self._timers)
+        wake = self._query.deadline
+        if self._timers:
+            wake = min(wake, self._timers[0][0])
+        if self._armed is None or wake < self._armed:
+            self._armed = wake
+            self._decide(attempts.WakeAt(wake))
+
+    # Restart at a newer snapshot.
+
+    def _leave_snapshot(
+        self, now: float, part: parts.Progress, view: attempts.View
+    ) -> None:
+        if self._replanning:
+            return
+        patience = min(view.hedge_delay_s or 0.0, view.attempt_timeout_s)
+        urgent_rows = self._query.kind is model.QueryKind.URGENT and self._rows > 0
+        late = now + patience >= self._query.deadline
+        if self._restarts >= RESTARTS_MAX or urgent_rows or late:
+            self._stay(now, part)
+            return
+        self._replanning = True
+        self._decide(attempts.Restart(f"{part.spec.service}: {part.reason}"))
+
+    def _stay(self, now: float, part: parts.Progress) -> None:
+        # A replica that lags behind the snapshot may have caught up later.
+        part.gone.clear()
+        self._retry_later(now, part)
+
+    def _replan(self, now: float, plan: attempts.Plan | None) -> None:
+        if not self._replanning:
+            return
+        self._replanning = False
+        if plan is None or plans.check_successor(self._plan, plan) is not None:
+            self._no_newer = True
+            for part in self._parts:
+                if part.gone and not part.running:
+                    self._stay(now, part)
+            return
+        self._no_newer = False
+        self._restarts += 1
+        for attempt in list(self._running.values()):
+            self._cancel(attempt)
+        self._adopt(plan)
+
+    # Answers.
+
+    def _check_complete(self) -> None:
+        if self._is_complete():
+            self._finish(None)
+
+    def _is_complete(self) -> bool:
+        if self._coverage.is_whole():
+            return True
+        if self._query.kind is model.QueryKind.FULL_PAGE:
+            return self._coverage.reaches(self._floor)
+        if self._query.kind is model.QueryKind.URGENT:
+            return self._rows >= self._query.limit
+        return False
+
+    def _finish_at_deadline(self) -> None:
+        covered, total = self._coverage.covered, self._coverage.total
+        detail = f"covered {covered} of {total} keys"
+        kind = errors.ErrorKind.DEADLINE_EXCEEDED
+        if self._started and self._query.kind is model.QueryKind.URGENT:
+            self._finish(None)
+            return
+        if self._started and self._query.kind is model.QueryKind.FULL_PAGE:
+            kind = errors.ErrorKind.COVERAGE_BELOW_FLOOR
+            detail += f", floor {self._floor[0]}/{self._floor[1]}"
+        elif self._no_newer:
+            kind = errors.ErrorKind.NO_COMMON_VERSION
+        self._finish(errors.Failure(kind, detail))
+
+    def _finish(self, failure: errors.Failure | None) -> None:
+        missing = tuple(self._list_missing())
+        for attempt in list(self._running.values()):
+            self._cancel(attempt)
+        sources, rows = self._collect_rows() if failure is None else ((), ())
+        self._finished = True
+        outcome = attempts.Outcome(
+            failure,
+            rows,
+            sources,
+            self._plan.versions,
+            self._coverage.covered,
+            self._coverage.total,
+            missing,
+        )
+        self._decide(attempts.Finish(outcome))
+
+    def _list_missing(self) -> typing.Iterator[attempts.Missing]:
+        reasons = {part.spec.service: part.describe_gap() for part in self._parts}
+        for gap in self._coverage.missing():
+            yield attempts.Missing(gap.service, gap.keys, reasons[gap.service])
+
+    def _collect_rows(
+        self,
+    ) -> tuple[tuple[tuple[int, int], ...], tuple[typing.Any, ...]]:
+        sources, rows = [], []
+        for piece in (piece for part in self._parts for piece in part.pieces):
+            taken = piece.rows[: max(0, self._query.limit - len(rows))]
+            rows.extend(taken)
+            if len(taken):
+                sources.append((piece.attempt, len(taken)))
+        return tuple(sources), tuple(rows)
+
+
+def _send_fields(attempt: attempts.Attempt) -> tuple[typing.Any, ...]:
+    return (
+        attempt.part,
+        attempt.number,
+        attempt.address,
+        attempt.purpose,
+        attempt.request_id,
+        attempt.version,
+        attempt.deadline,
+    )
