--- a/acacialatch/bodies.py
+++ b/acacialatch/bodies.py
@@ -8,6 +8,10 @@
 from acacialatch import errors, model
 
 DEADLINE_MIN_S = 0.001
+REQUEST_DEADLINE_S = 2.0
+REQUEST_DEADLINE_MAX_S = 30.0
+"""Default and largest deadline of a non-idempotent request, in seconds."""
+
 LIMIT_DEFAULT = 100
 LIMIT_MAX = 10_000
 
--- a/acacialatch/events.py
+++ b/acacialatch/events.py
@@ -69,9 +69,8 @@
     """The issuer answered a forwarded request."""
 
     call_id: str
-    status: int
-    kind: str
-    body: bytes
+    key: str
+    outcome: outcomes.Outcome
 
 
 class ForwardFailed(typing.NamedTuple):
@@ -128,12 +127,6 @@
     is_new_connection: bool
 
 
-class FirstByteSent(typing.NamedTuple):
-    """The first byte of a request is about to be sent."""
-
-    send_id: int
-
-
 class PoolChanged(typing.NamedTuple):
     """The number of idle connections to a server changed."""
 
@@ -150,9 +143,13 @@
 
 
 class ServiceAnswered(typing.NamedTuple):
-    """The configuration service answered; `revision` is the one that it holds."""
+    """The configuration service answered that it holds nothing newer."""
+
 
-    revision: int | None = None
+class ServiceFailed(typing.NamedTuple):
+    """A read of the configuration service failed."""
+
+    detail: str
 
 
 class InstancesListed(typing.NamedTuple):
@@ -161,10 +158,29 @@
     instances: tuple[typing.Any, ...]
 
 
-class DigestArrived(typing.NamedTuple):
-    """A peer sent its digest, or answered one."""
+class DigestAsked(typing.NamedTuple):
+    """A peer sent its digest and waits for the one in return.
+
+    The answer is the `AnswerDigest` action with the same `call_id`.
+    """
+
+    call_id: str
+    digest: messages.Digest
+
+
+class DigestAnswered(typing.NamedTuple):
+    """A peer answered the digest sent at `sent_at`, in seconds."""
+
+    peer_address: str
+    digest: messages.Digest
+    sent_at: float
+
+
+class PeerFailed(typing.NamedTuple):
+    """A digest or a fetch got no answer from a peer."""
 
-    digest: typing.Any
+    peer_address: str
+    detail: str
 
 
 class LoopTicked(typing.NamedTuple):
@@ -193,8 +209,8 @@
     timeout_s : float
         Longest time for the exchange, in seconds.
     needs_proved : bool
-        Use only a new connection or one proved in the last second, and report
-        `FirstByteSent`.
+        Use only a new connection or one proved in the last second, and ask
+        `Engine.allow_first_byte` directly before the first byte.
     """
 
     send_id: int
@@ -222,29 +238,27 @@
 
 
 class AnswerRequest(typing.NamedTuple):
-    """Gives the answer to a non-idempotent request.
+    """Gives the answer to a non-idempotent request."""
+
+    call_id: str
+    outcome: outcomes.Outcome
+
+
+class ForwardToPeer(typing.NamedTuple):
+    """Forwards a non-idempotent request to the issuer of its key.
 
     Attributes
     ----------
     call_id : str
         Identifier of the call.
-    failure : errors.Failure or None
-        The error, if any.
-    status : int
-        HTTP status code of the reply when there is no failure.
-    body : bytes
-        Body of the backend server's reply when there is no failure.
+    peer_address : str
+        Address of the issuer for peers.
+    request : RequestArrived
+        The request.
+    timeout_s : float
+        Time until the deadline, in seconds.
     """
 
-    call_id: str
-    failure: errors.Failure | None
-    status: int = 200
-    body: bytes = b""
-
-
-class ForwardToPeer(typing.NamedTuple):
-    """Forwards a non-idempotent request to the issuer of its key."""
-
     call_id: str
     peer_address: str
     request: RequestArrived
@@ -292,7 +306,14 @@
     """Sends a digest to a peer and reports its digest in return."""
 
     peer_address: str
-    digest: typing.Any
+    digest: messages.Digest
+
+
+class AnswerDigest(typing.NamedTuple):
+    """Answers a `DigestAsked`."""
+
+    call_id: str
+    digest: messages.Digest
 
 
 class FetchConfiguration(typing.NamedTuple):
@@ -329,12 +350,14 @@
     | ForwardFailed
     | ServerReplied
     | SendFailed
-    | FirstByteSent
     | PoolChanged
     | ConfigurationRead
     | ServiceAnswered
+    | ServiceFailed
     | InstancesListed
-    | DigestArrived
+    | DigestAsked
+    | DigestAnswered
+    | PeerFailed
     | LoopTicked
     | StopAsked
 )
@@ -351,6 +374,7 @@
     | CountMetric
     | TimeMetric
     | ExchangeDigest
+    | AnswerDigest
     | FetchConfiguration
     | ReadService
     | ListInstances
--- a/acacialatch/httpclient.py
+++ b/acacialatch/httpclient.py
@@ -81,7 +81,7 @@
 
     @abc.abstractmethod
     async def exchange(
-        self, call: Call, on_first_byte: typing.Callable[[], bool] | None = None
+        self, call: Call, on_first_byte: typing.Callable[[float], bool] | None = None
     ) -> Reply | Failed:
         """Run one exchange.
 
@@ -90,8 +90,9 @@
         call : Call
             The exchange to run.
         on_first_byte : callable, optional
-            Called directly before the first byte is sent. A false result stops
-            the exchange, and no byte is sent.
+            Called directly before the first byte is sent, with the time of the last
+            exchange on the connection or of its set-up, in seconds. A false result
+            stops the exchange, and no byte is sent.
         """
 
     @abc.abstractmethod
@@ -147,7 +148,7 @@
             self._close(address, self._idle[address].pop())
 
     async def exchange(
-        self, call: Call, on_first_byte: typing.Callable[[], bool] | None = None
+        self, call: Call, on_first_byte: typing.Callable[[float], bool] | None = None
     ) -> Reply | Failed:
         """Run one exchange; see `ServerClient.exchange`."""
         started = trio.current_time()
@@ -156,7 +157,9 @@
 
         def note_first_byte() -> None:
             nonlocal sent
-            if on_first_byte is not None and not on_first_byte():
+            assert isinstance(connection, _Connection)
+            proved_at = connection.proved_at
+            if on_first_byte is not None and not on_first_byte(proved_at):
                 raise _StoppedError
             sent = True
 
--- a/acacialatch/planner.py
+++ b/acacialatch/planner.py
@@ -19,16 +19,30 @@
     query : model.Query
         Query whose service exists in the configuration.
     """
-    parts = []
-    for service in configuration.list_leaves(query.service):
-        keys = service.keys
-        if query.key is not None:
-            if not keys.start <= query.key < keys.end:
-                continue
-            keys = model.KeyRange(query.key, query.key + 1)
-        index = configuration.indexes[service.index]
-        parts.append(attempts.Part(service.name, index.name, keys, index.partition_map))
-    return tuple(parts)
+    if query.key is not None:
+        return list_key_parts(configuration, query.service, query.key)
+    return tuple(
+        _make_part(configuration, service, service.keys)
+        for service in configuration.list_leaves(query.service)
+    )
+
+
+def list_key_parts(
+    configuration: model.Configuration, name: str, key: int
+) -> tuple[attempts.Part, ...]:
+    """Return a part for one key in each index that the service `name` reaches."""
+    return tuple(
+        _make_part(configuration, service, model.KeyRange(key, key + 1))
+        for service in configuration.list_leaves(name)
+        if service.keys.start <= key < service.keys.end
+    )
+
+
+def _make_part(
+    configuration: model.Configuration, service: model.Service, keys: model.KeyRange
+) -> attempts.Part:
+    index = configuration.indexes[service.index]
+    return attempts.Part(service.name, index.name, keys, index.partition_map)
 
 
 def pin_versions(
--- /dev/null
+++ b/acacialatch/submissions.py
@@ -0,0 +1,286 @@
+"""Runs non-idempotent requests: joins the ledger with sends and forwards."""
+
+import typing
+
+import result
+
+from acacialatch import (
+    bodies,
+    dispatch,
+    errors,
+    events,
+    model,
+    outcomes,
+    planner,
+    requests,
+)
+
+LATE_REPLY_S = 10.0
+"""Time after the deadline for which a late reply is still awaited, in seconds.
+
+A late reply turns an unknown outcome into a known one for a repeat of the key.
+"""
+
+LATENCY_FLOOR_S = 0.001
+
+
+class _Sent(typing.NamedTuple):
+    request_id: str
+    call_id: str
+
+
+class SubmissionRunner:
+    """Runs the non-idempotent requests of one entry instance.
+
+    Parameters
+    ----------
+    dispatcher : dispatch.Dispatcher
+        Sends to backend servers.
+    ledger : requests.RequestLedger
+        Keys and outcomes.
+    """
+
+    def __init__(self, dispatcher: dispatch.Dispatcher, ledger: requests.RequestLedger):
+        self._dispatcher = dispatcher
+        self._ledger = ledger
+        self._arrived: dict[str, events.RequestArrived] = {}
+        self._sent: dict[int, _Sent] = {}
+        self._send_ids: dict[str, int] = {}
+        # The text of a request outlives its caller until the attempt ends.
+        self._texts: dict[str, events.RequestArrived] = {}
+
+    def owns(self, send_id: int) -> bool:
+        """Return whether a send belongs to a non-idempotent request."""
+        return send_id in self._sent
+
+    def next_timer(self) -> float:
+        """Return the time in seconds at which `wake` must be called."""
+        time = self._ledger.next_timer()
+        return float("inf") if time is None else time
+
+    def issue_key(self, now: float) -> result.Result[str, errors.Failure]:
+        """Issue an idempotency key."""
+        return self._ledger.issue_key(now)
+
+    def start(self, now: float, arrived: events.RequestArrived) -> list[events.Action]:
+        """Take a request of a caller or a peer."""
+        self._arrived[arrived.call_id] = arrived
+        request = outcomes.Request(
+            arrived.call_id,
+            arrived.idempotency_key,
+            outcomes.digest_body(arrived.service, arrived.key, arrived.body.encode()),
+            arrived.deadline,
+            arrived.hops > 0,
+        )
+        view = self._make_view(now, arrived)
+        return self._carry_out(now, self._ledger.begin(now, request, view))
+
+    def abandon(self, now: float, call_id: str) -> list[events.Action]:
+        """Take that the caller of a request closed its connection."""
+        actions = self._carry_out(now, self._ledger.drop_caller(now, call_id))
+        self._arrived.pop(call_id, None)
+        return actions
+
+    def allow_first_byte(
+        self, now: float, send_id: int, proved_at: float
+    ) -> tuple[bool, list[events.Action]]:
+        """Ask whether the first byte of a send may leave now.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds, read after the last wait.
+        send_id : int
+            Identifier of the send.
+        proved_at : float
+            Time of the last exchange on the connection or of its set-up.
+
+        Returns
+        -------
+        tuple
+            The permission, and actions to carry out in either case.
+        """
+        sent = self._sent.get(send_id)
+        if sent is None:
+            return False, []
+        view = self._make_view(now, self._texts[sent.request_id])
+        permission = self._ledger.note_sent(now, sent.request_id, proved_at, view)
+        if isinstance(permission, result.Ok):
+            return True, []
+        return False, self._carry_out(now, permission.err_value)
+
+    def receive(self, now: float, event: events.ServerReplied) -> list[events.Action]:
+        """Take the reply of a backend server."""
+        sent = self._forget(event.send_id)
+        if sent is None:
+            return []
+        text = self._texts.pop(sent.request_id)
+        reply = outcomes.Reply(
+            event.headers.get("x-request-id", ""), event.status, event.body
+        )
+        if event.headers.get("x-refused") == "before-run":
+            view = self._make_view(now, text)
+            return self._carry_out(
+                now, self._ledger.note_refused(now, sent.request_id, reply, view)
+            )
+        return self._carry_out(
+            now, self._ledger.note_reply(now, sent.request_id, reply)
+        )
+
+    def fail(self, now: float, event: events.SendFailed) -> list[events.Action]:
+        """Take the failure of a send."""
+        sent = self._forget(event.send_id)
+        if sent is None:
+            return []
+        view = self._make_view(now, self._texts.pop(sent.request_id))
+        return self._carry_out(now, self._ledger.note_lost(now, sent.request_id, view))
+
+    def note_forward_answered(
+        self, now: float, event: events.ForwardAnswered
+    ) -> list[events.Action]:
+        """Take the issuer's answer to a forwarded request."""
+        actions = self._ledger.forwards.note_answered(
+            now, event.call_id, event.key, event.outcome
+        )
+        return self._carry_out(now, actions)
+
+    def note_forward_failed(
+        self, now: float, event: events.ForwardFailed
+    ) -> list[events.Action]:
+        """Take that a forwarded request got no answer."""
+        actions = self._ledger.forwards.note_failed(now, event.call_id, event.left)
+        return self._carry_out(now, actions)
+
+    def wake(self, now: float) -> list[events.Action]:
+        """Apply deadlines that have passed."""
+        return self._carry_out(now, self._ledger.expire(now))
+
+    def finish_all(self, now: float) -> list[events.Action]:
+        """Answer every caller truthfully at once."""
+        return self._carry_out(now, self._ledger.shut_down(now))
+
+    def _carry_out(
+        self, now: float, decided: list[outcomes.Action]
+    ) -> list[events.Action]:
+        actions: list[events.Action] = []
+        pending = list(decided)
+        while pending:
+            action = pending.pop(0)
+            match action:
+                case outcomes.Send():
+                    pending += self._send(now, action, actions)
+                case outcomes.Forward():
+                    actions.append(self._forward(now, action))
+                case outcomes.Answer():
+                    self._arrived.pop(action.caller, None)
+                    actions.append(events.AnswerRequest(action.caller, action.outcome))
+                case outcomes.Close():
+                    actions += self._close(now, action.request_id)
+        return actions
+
+    def _send(
+        self, now: float, send: outcomes.Send, actions: list[events.Action]
+    ) -> list[outcomes.Action]:
+        """Start a send; returns what the ledger decides when it must not happen."""
+        arrived = self._arrived[send.caller]
+        service = self._find_leaf(arrived)
+        send_id = None
+        if service is not None:
+            send_id = self._dispatcher.begin(now, service, send.address)
+        if send_id is None:
+            view = self._make_view(now, arrived)
+            return self._ledger.note_lost(now, send.request_id, view)
+        self._texts[send.request_id] = arrived
+        self._sent[send_id] = _Sent(send.request_id, send.caller)
+        self._send_ids[send.request_id] = send_id
+        actions.append(_make_send(now, send_id, send, arrived))
+        actions.append(events.CountMetric("request.sent"))
+        return []
+
+    def _forward(self, now: float, forward: outcomes.Forward) -> events.Action:
+        arrived = self._arrived[forward.caller]
+        return events.ForwardToPeer(
+            forward.caller, forward.issuer, arrived, max(0.0, forward.deadline - now)
+        )
+
+    def _close(self, now: float, request_id: str) -> list[events.Action]:
+        send_id = self._send_ids.get(request_id)
+        if send_id is None or self._forget(send_id) is None:
+            return []
+        self._texts.pop(request_id, None)
+        return [
+            events.CancelSend(send_id),
+            *self._dispatcher.end_cancelled(now, send_id),
+        ]
+
+    def _forget(self, send_id: int) -> _Sent | None:
+        sent = self._sent.pop(send_id, None)
+        if sent is not None:
+            self._send_ids.pop(sent.request_id, None)
+        return sent
+
+    def _make_view(self, now: float, arrived: events.RequestArrived) -> outcomes.View:
+        if self._dispatcher.store.configuration is None:
+            refusal = errors.ErrorKind.NO_CONFIGURATION
+            return outcomes.View((), False, refusal)
+        is_current = self._dispatcher.is_current(now)
+        service = self._find_leaf(arrived)
+        if service is None:
+            return outcomes.View((), is_current, errors.ErrorKind.UNKNOWN_SERVICE)
+        return outcomes.View(self._list_options(now, service), is_current)
+
+    def _list_options(
+        self, now: float, service: model.Service
+    ) -> tuple[outcomes.ReplicaOption, ...]:
+        candidates = [
+            self._dispatcher.make_candidate(now, service, replica)
+            for replica in service.replicas
+        ]
+        usable = [candidate for candidate in candidates if candidate.usable]
+        usable.sort(
+            key=lambda candidate: (
+                (candidate.in_flight + 1) * max(LATENCY_FLOOR_S, candidate.latency_s)
+            )
+        )
+        heard = self._dispatcher.table.last_heard
+        return tuple(
+            outcomes.ReplicaOption(
+                candidate.address,
+                heard(candidate.address) if candidate.connected else None,
+            )
+            for candidate in usable
+        )
+
+    def _find_leaf(self, arrived: events.RequestArrived) -> model.Service | None:
+        """Return the leaf service that holds the key of a request, if just one does."""
+        configuration = self._dispatcher.store.configuration
+        if configuration is None or arrived.service not in configuration.services:
+            return None
+        parts = planner.list_key_parts(configuration, arrived.service, arrived.key)
+        if len(parts) != 1:
+            return None
+        return configuration.services[parts[0].service]
+
+
+def _make_send(
+    now: float, send_id: int, send: outcomes.Send, arrived: events.RequestArrived
+) -> events.SendToServer:
+    remaining_s = max(0.0, arrived.deadline - now)
+    headers = (
+        ("content-type", "application/json"),
+        ("x-request-id", send.request_id),
+        ("idempotency-key", arrived.idempotency_key),
+        ("x-deadline-ms", str(max(1, int(remaining_s * 1000)))),
+    )
+    body = bodies.encode({"key": arrived.key, "body": arrived.body})
+    return events.SendToServer(
+        send_id,
+        send.address,
+        "POST",
+        "/request",
+        headers,
+        body,
+        remaining_s + LATE_REPLY_S,
+        True,
+    )
+
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -306,7 +306,7 @@
                 await trio.sleep_forever()
             if reply is None:
                 return
-            await self._send(reply)
+            await self._send(reply, exchange)
             if self._http.our_state is not h11.DONE:
                 return
             self._http.start_next_cycle()
@@ -349,11 +349,12 @@
             nursery.cancel_scope.cancel()
         return reply
 
-    async def _send(self, reply: Reply) -> None:
+    async def _send(self, reply: Reply, exchange: Exchange) -> None:
         body = json.dumps(reply.body).encode()
         headers = [
             ("content-type", "application/json"),
             ("content-length", str(len(body))),
+            ("x-request-id", exchange.headers.get("x-request-id", "")),
             *self._server.describe(),
             *reply.headers,
         ]
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -117,7 +117,9 @@
     server = ScriptedServer(OK)
     client = httpclient.PooledClient(lambda address: 3)
     address = await start(nursery, server)
-    failed = await client.exchange(make_call(address), on_first_byte=lambda: False)
+    failed = await client.exchange(
+        make_call(address), on_first_byte=lambda proved_at: False
+    )
     assert isinstance(failed, httpclient.Failed)
     assert not failed.bytes_sent
     assert len(server.replies) == 1
