--- a/acacialatch/configuration.py
+++ b/acacialatch/configuration.py
@@ -8,7 +8,7 @@
 
 import result
 
-from acacialatch import model, tables
+from acacialatch import checks, model, tables
 
 TEXT_SIZE_MAX = 1_000_000  # bytes; the configuration service holds no larger value
 TITLE_SIZE_MAX = 200  # characters
@@ -21,6 +21,7 @@
 ENTRY_LIFETIME_MAX_S = 2
 
 MS_PER_S = 1000
+NAMES_SHOWN_MAX = 20  # names that a problem lists
 
 # Deadline, largest deadline (ms) and floor of a kind that the text leaves out.
 KIND_DEFAULTS: dict[model.QueryKind, tuple[int, int, tuple[int, int]]] = {
@@ -119,7 +120,7 @@
     return 1 <= len(value) <= TITLE_SIZE_MAX and value.isprintable()
 
 
-def _list_allowed(names: typing.Iterable[str], shown_max: int = 20) -> str:
+def _list_allowed(names: typing.Iterable[str], shown_max: int = NAMES_SHOWN_MAX) -> str:
     listed = list(names)
     more = f" and {len(listed) - shown_max} more" if len(listed) > shown_max else ""
     return f"one of {', '.join(listed[:shown_max])}{more}" if listed else "none exist"
@@ -257,11 +258,11 @@
             ranges.get(leaf.index, []).append((*leaf.keys, name))
         else:
             wrong_ranges.add(leaf.index)
-    _check_cycles(services, top.problems)
+    checks.check_cycles(services, top.problems)
     if "" not in wrong_ranges:
         for name, index in indexes.items():
             if index is not None and name not in wrong_ranges:
-                _check_tiling(index, ranges[name], top.problems)
+                checks.check_tiling(index, ranges[name], top.problems)
     return services
 
 
@@ -340,67 +341,6 @@
     return tuple(replicas)
 
 
-def _check_cycles(
-    services: dict[str, model.Service], problems: tables.Problems
-) -> None:
-    """Add one problem for each dependency cycle that a walk in text order closes."""
-    done: set[str] = set()
-    for root in services:
-        path: list[str] = []
-        on_path: set[str] = set()
-        pending = [(root, False)]  # an explicit stack: chains can be long
-        while pending:
-            name, leaving = pending.pop()
-            if leaving:
-                on_path.discard(path.pop())
-                done.add(name)
-            elif name in on_path:
-                cycle = [*path[path.index(name) :], name]
-                problems.add_found(
-                    f"services.{path[-1]}.depends_on",
-                    f"the cycle {_join_cycle(cycle)}",
-                    "dependencies without a cycle",
-                )
-            elif name not in done:
-                path.append(name)
-                on_path.add(name)
-                pending.append((name, True))
-                depends_on = services[name].depends_on
-                pending.extend(
-                    (needed, False)
-                    for needed in reversed(depends_on)
-                    if needed in services
-                )
-
-
-def _join_cycle(cycle: list[str], shown_max: int = 20) -> str:
-    if len(cycle) > shown_max:
-        cycle = [*cycle[: shown_max - 1], "...", cycle[-1]]
-    return " -> ".join(cycle)
-
-
-def _check_tiling(
-    index: model.Index,
-    ranges: list[tuple[int, int, str]],
-    problems: tables.Problems,
-) -> None:
-    """Add a problem for each gap and overlap of the ranges of one index."""
-    allowed = f"ranges that tile [0, {index.keys}) without gap or overlap"
-    key = f"indexes.{index.name}"
-    covered, last = 0, ""
-    for start, end, name in sorted(ranges):
-        if start > covered:
-            problems.add_found(key, f"a gap [{covered}, {start})", allowed)
-        elif start < covered:
-            shared = f"[{start}, {min(end, covered)})"
-            found = f"an overlap {shared} of services {last} and {name}"
-            problems.add_found(key, found, allowed)
-        if end > covered:
-            covered, last = end, name
-    if covered < index.keys:
-        problems.add_found(key, f"a gap [{covered}, {index.keys})", allowed)
-
-
 def check_successor(
     old: model.Configuration, new: model.Configuration, name: str = "configuration"
 ) -> tuple[tables.Problem, ...]:
