--- a/acacialatch/errors.py
+++ b/acacialatch/errors.py
@@ -65,6 +65,43 @@
     detail: str = ""
 
 
+class LinkErrorKind(enum.Enum):
+    """Errors of a call to another entry instance.
+
+    NOT_SENT means that no byte of the request left this process. REFUSED means that
+    the peer answered that it refused the message before running anything. After
+    UNKNOWN the peer may or may not have run the request.
+    """
+
+    NOT_SENT = "not_sent"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class LinkFailure(typing.NamedTuple):
+    """A link error with the detail of one occurrence."""
+
+    kind: LinkErrorKind
+    detail: str = ""
+
+
+class SourceErrorKind(enum.Enum):
+    """Errors of reading the configuration service or the instance list."""
+
+    UNREACHABLE = "unreachable"
+    TIMEOUT = "timeout"
+    STATUS = "status"
+    MALFORMED = "malformed"
+    TOO_LARGE = "too_large"
+
+
+class SourceFailure(typing.NamedTuple):
+    """A source error with the detail of one occurrence."""
+
+    kind: SourceErrorKind
+    detail: str = ""
+
+
 ANSWERS: dict[ErrorKind, Answer] = {
     ErrorKind.MALFORMED_REQUEST: Answer(
         400, RunState.NOT_RUN, False, "The request is not well formed."
