--- /dev/null
+++ b/acacialatch/control.py
@@ -0,0 +1,485 @@
+"""Control work: configuration, membership, digests and status probes."""
+
+import random
+import typing
+
+import msgspec
+
+from acacialatch import (
+    dispatch,
+    events,
+    facts,
+    instances,
+    membership,
+    messages,
+    model,
+    ownership,
+    revisions,
+)
+
+DIGEST_PERIOD_S = 0.5
+
+WATCH_WAIT_S = 1.0
+"""Longest time for which the configuration service may hold a watch, in seconds."""
+
+READ_PERIOD_MIN_S = 10.0
+LIST_PERIOD_S = 2.0
+
+READ_PERIOD_PER_INSTANCE_S = 0.1
+"""Entry instances that are no watchers together read 10 times a second at most."""
+
+SERVICE_AGE_MAX_S = 2.0
+"""Age of the latest known service read above which every entry instance reads."""
+
+EAGER_PERIOD_MIN_S = 1.0
+EAGER_PERIOD_PER_INSTANCE_S = 0.005
+
+STALE_NEWS_S = 2.0
+"""A leaf of which nothing was heard for this long gets a status probe."""
+
+PROBE_ROUND_TICKS = 5
+"""Each tick looks at this fraction of the servers, to bound its processor time."""
+
+PROBE_TIMEOUT_S = 1.0
+UNKNOWN_ASKED_MAX = 16
+
+_Facts = tuple[tuple[str, ...], tuple[facts.Fact, ...]]
+
+
+class Controller:
+    """Control work of one entry instance.
+
+    Parameters
+    ----------
+    dispatcher : dispatch.Dispatcher
+        Sends to backend servers.
+    members : membership.Membership
+        Entry instances.
+    owner : ownership.Ownership
+        Leases and permits.
+    now : float
+        Start of the process on the runtime clock, in seconds.
+    seed : int
+        Seed of all jitter.
+    """
+
+    def __init__(
+        self,
+        dispatcher: dispatch.Dispatcher,
+        members: membership.Membership,
+        owner: ownership.Ownership,
+        now: float,
+        seed: int,
+    ):
+        self._dispatcher = dispatcher
+        self._store = dispatcher.store
+        self._table = dispatcher.table
+        self._members = members
+        self._owner = owner
+        self._started = now
+        self._random = random.Random(seed)
+        self._incarnation = dispatcher.identity.incarnation
+        self._is_reading = False
+        self._next_read = now
+        self._failures = 0
+        self._is_listing = False
+        self._next_list = now
+        self._next_digest = now
+        self._round = 0
+        self._exchanging: set[str] = set()
+        self._probes: dict[int, str] = {}
+        self._probe_turn = 0
+        self._leaves: list[model.Service] = []
+        self._is_leaving = False
+        self._restrained: str = ""
+
+    def owns(self, send_id: int) -> bool:
+        """Return whether a send is a status probe."""
+        return send_id in self._probes
+
+    def set_leaving(self, now: float) -> None:
+        """Announce that this entry instance is shutting down, at once."""
+        self._is_leaving = True
+        self._members.set_leaving()
+        self._next_digest = now
+
+    def tick(self, now: float) -> list[events.Action]:
+        """Do the periodic work that is due."""
+        actions: list[events.Action] = []
+        change = self._store.note_loop(now)
+        if change is not None:
+            self._owner.note_pause(now)
+            self._next_read = self._next_digest = now
+            actions += _note_revision_change(change)
+        self._dispatcher.peers_known = self._members.knows_peers()
+        actions += self._note_currency(now)
+        actions += self._read_service(now)
+        actions += self._list_instances(now)
+        actions += self._owner.tick(now, self._list_live(now))
+        actions += self._send_digests(now)
+        actions += self._send_probes(now)
+        return actions
+
+    # Configuration.
+
+    def receive_text(
+        self, now: float, event: events.ConfigurationRead
+    ) -> list[events.Action]:
+        """Consider a configuration text from the service or a peer."""
+        actions: list[events.Action] = []
+        if event.source == revisions.SERVICE:
+            self._note_read(now)
+        outcome = self._store.offer(now, event.revision, event.text, event.source)
+        if outcome.change is not None:
+            actions += _note_revision_change(outcome.change)
+        if outcome.verdict is revisions.Verdict.ACCEPTED:
+            actions += self._apply(now)
+        mark = revisions.Mark(event.revision, revisions.hash_text(event.text))
+        confirmation = self._store.confirm(
+            now,
+            event.source,
+            asked_at=event.asked_at,
+            mark=mark,
+            is_source_current=event.is_source_current,
+        )
+        if confirmation.change is not None:
+            actions += _note_revision_change(confirmation.change)
+        return actions
+
+    def note_service_answer(
+        self, now: float, event: events.ServiceAnswered
+    ) -> list[events.Action]:
+        """Take that the configuration service has nothing newer."""
+        self._note_read(now)
+        confirmation = self._store.confirm(
+            now, revisions.SERVICE, asked_at=event.asked_at
+        )
+        if confirmation.change is None:
+            return []
+        return _note_revision_change(confirmation.change)
+
+    def note_service_failure(
+        self, now: float, event: events.ServiceFailed
+    ) -> list[events.Action]:
+        """Take that a read of the configuration service failed."""
+        self._is_reading = False
+        delay_s = membership.watch_delay(self._failures, self._incarnation)
+        self._failures += 1
+        self._next_read = now + delay_s
+        text = f"service did not answer: {event.detail}"
+        log = [events.WriteLog("config:", text)] if self._failures == 1 else []
+        return [*log, events.CountMetric("config.read_failed")]
+
+    def _apply(self, now: float) -> list[events.Action]:
+        configuration = self._store.configuration
+        assert configuration is not None
+        self._leaves = [
+            service for service in configuration.services.values() if service.is_leaf()
+        ]
+        changes = self._table.set_configuration(now, configuration)
+        self._owner.set_configuration(now, configuration)
+        # Peers learn of a change at once and not at the next period.
+        self._next_digest = now
+        return dispatch.note_changes(changes)
+
+    def _read_service(self, now: float) -> list[events.Action]:
+        is_eager = self._store.service_age(now) > SERVICE_AGE_MAX_S
+        if is_eager:
+            period = self._stretch(EAGER_PERIOD_MIN_S, EAGER_PERIOD_PER_INSTANCE_S)
+            self._next_read = min(self._next_read, now + period)
+        if self._is_reading or now < self._next_read:
+            return []
+        self._is_reading = True
+        is_watcher = self._members.is_watcher(now)
+        wait_s = WATCH_WAIT_S if is_watcher and self._store.mark is not None else 0.0
+        return [events.ReadService(self._store.watch_after, wait_s)]
+
+    def _note_read(self, now: float) -> None:
+        self._is_reading = False
+        self._failures = 0
+        self._next_read = now
+        if not self._members.is_watcher(now):
+            self._next_read += self._stretch(
+                READ_PERIOD_MIN_S, READ_PERIOD_PER_INSTANCE_S
+            )
+
+    def _stretch(self, shortest_s: float, per_instance_s: float) -> float:
+        """Return a jittered period that grows with the number of instances."""
+        count = len(self._members.list_peers(0.0)) + 1
+        period_s = max(shortest_s, per_instance_s * count)
+        return period_s * self._random.uniform(0.75, 1.25)
+
+    def _note_currency(self, now: float) -> list[events.Action]:
+        """Log when new work is held back and when it is let go again."""
+        state = "current" if self._dispatcher.is_current(now) else "not current"
+        if state == self._restrained:
+            return []
+        before, self._restrained = self._restrained, state
+        return [
+            events.NoteChange("freshness", before, state, "confirmation"),
+            events.WriteLog("config:", f"configuration is {state}"),
+        ]
+
+    # Membership and digests.
+
+    def receive_list(
+        self, now: float, event: events.InstancesListed
+    ) -> list[events.Action]:
+        """Take the platform's list of instances."""
+        self._is_listing = False
+        self._schedule_list(now)
+        listed = [
+            instances.Listed(
+                item.name,
+                item.zone,
+                item.address,
+                item.peer_address,
+                item.state == "leaving",
+            )
+            for item in event.instances
+            if item.role == "entry"
+        ]
+        leaving = {
+            item.address
+            for item in event.instances
+            if item.role == "server" and item.state == "leaving"
+        }
+        actions = _note_member_changes(self._members.update_list(now, listed))
+        changes = self._table.set_listed_leaving(now, leaving)
+        return actions + dispatch.note_changes(changes)
+
+    def note_list_failure(self, now: float) -> list[events.Action]:
+        """Take that a read of the instance list failed."""
+        self._is_listing = False
+        self._schedule_list(now)
+        return [events.CountMetric("instances.read_failed")]
+
+    def answer_digest(
+        self, now: float, event: events.DigestAsked
+    ) -> list[events.Action]:
+        """Take the digest of a peer and answer with the own one."""
+        actions = self._take_digest(now, event.digest, float("-inf"))
+        answer = self._make_digest(now, event.digest)
+        return [*actions, events.AnswerDigest(event.call_id, answer)]
+
+    def receive_answer(
+        self, now: float, event: events.DigestAnswered
+    ) -> list[events.Action]:
+        """Take the digest with which a peer answered."""
+        self._exchanging.discard(event.peer_address)
+        actions = self._take_digest(now, event.digest, event.sent_at)
+        return actions + self._owner.receive(now, event.digest, event.sent_at)
+
+    def note_peer_failure(
+        self, now: float, event: events.PeerFailed
+    ) -> list[events.Action]:
+        """Take that a peer did not answer."""
+        self._exchanging.discard(event.peer_address)
+        return [events.CountMetric("peer.failed")]
+
+    def _take_digest(
+        self, now: float, digest: messages.Digest, asked_at: float
+    ) -> list[events.Action]:
+        announcement = instances.Announcement(
+            digest.instance,
+            digest.incarnation,
+            digest.zone,
+            digest.caller_address,
+            digest.peer_address,
+            digest.leaving,
+            digest.uptime_s,
+        )
+        actions = _note_member_changes(self._members.hear(now, announcement))
+        self._dispatcher.peers_known = self._members.knows_peers()
+        heard_at = now if asked_at == float("-inf") else asked_at
+        self._store.merge_service_age(heard_at, digest.service_age_s)
+        actions += self._compare_revision(now, digest, asked_at)
+        return actions + self._merge_facts(now, digest)
+
+    def _compare_revision(
+        self, now: float, digest: messages.Digest, asked_at: float
+    ) -> list[events.Action]:
+        if not digest.digest:
+            return []
+        confirmation = self._store.confirm(
+            now,
+            revisions.name_peer(digest.instance),
+            asked_at=asked_at,
+            mark=revisions.Mark(digest.revision, digest.digest),
+            is_source_current=digest.is_current,
+        )
+        if confirmation.standing is revisions.Standing.BEHIND:
+            return [events.FetchConfiguration(digest.peer_address, digest.instance)]
+        if confirmation.change is not None:
+            return _note_revision_change(confirmation.change)
+        return []
+
+    def _merge_facts(self, now: float, digest: messages.Digest) -> list[events.Action]:
+        if not digest.facts:
+            return []
+        try:
+            _, received = msgspec.msgpack.decode(digest.facts, type=_Facts)
+        except msgspec.MsgspecError:
+            return [events.CountMetric("peer.malformed")]
+        changes = self._table.merge(now, digest.incarnation, received)
+        return dispatch.note_changes(changes)
+
+    def _send_digests(self, now: float) -> list[events.Action]:
+        if now < self._next_digest:
+            return []
+        self._next_digest = now + DIGEST_PERIOD_S * self._random.uniform(0.9, 1.1)
+        self._round += 1
+        actions: list[events.Action] = []
+        digest: messages.Digest | None = None
+        for peer in self._members.choose_gossip_targets(now, self._round):
+            # A slow peer gets the next digest after the answer to the last one.
+            if peer.address in self._exchanging:
+                continue
+            self._exchanging.add(peer.address)
+            digest = digest or self._make_digest(now, None)
+            actions.append(events.ExchangeDigest(peer.address, digest))
+        return actions
+
+    def _make_digest(
+        self, now: float, asked: messages.Digest | None
+    ) -> messages.Digest:
+        """Return the own digest; `asked` is the digest that it answers."""
+        identity = self._dispatcher.identity
+        wanted = _read_wanted(asked)
+        content: _Facts = (
+            self._table.list_unknown(UNKNOWN_ASKED_MAX),
+            self._table.facts(now, wanted),
+        )
+        granted = self._owner.answer(now, asked) if asked else ownership.NOTHING
+        requested = self._owner.ask(now) if asked is None else ownership.NOTHING
+        return messages.Digest(
+            instance=identity.name,
+            incarnation=identity.incarnation,
+            zone=identity.zone,
+            caller_address=identity.caller_address,
+            peer_address=identity.peer_address,
+            leaving=self._is_leaving,
+            uptime_s=now - self._started,
+            revision=max(0, self._store.revision),
+            digest=self._store.digest,
+            is_current=self._dispatcher.is_current(now),
+            service_age_s=self._store.service_age(now),
+            facts=msgspec.msgpack.encode(content),
+            votes_asked=requested.votes,
+            votes_given=granted.votes,
+            permits_asked=requested.permits,
+            permits_given=granted.permits,
+        )
+
+    def _list_instances(self, now: float) -> list[events.Action]:
+        if self._is_listing or now < self._next_list:
+            return []
+        self._is_listing = True
+        return [events.ListInstances()]
+
+    def _schedule_list(self, now: float) -> None:
+        if self._members.is_watcher(now):
+            self._next_list = now + LIST_PERIOD_S * self._random.uniform(0.75, 1.25)
+        else:
+            self._next_list = now + self._stretch(
+                READ_PERIOD_MIN_S, READ_PERIOD_PER_INSTANCE_S
+            )
+
+    def _list_live(self, now: float) -> tuple[str, ...]:
+        return self._members.list_live_incarnations(now)
+
+    # Status probes.
+
+    def receive_probe(
+        self, now: float, event: events.ServerReplied | events.SendFailed
+    ) -> list[events.Action]:
+        """Take the end of a status probe; the dispatcher has accounted for it."""
+        self._probes.pop(event.send_id, None)
+        return []
+
+    def _send_probes(self, now: float) -> list[events.Action]:
+        actions: list[events.Action] = []
+        probed = set(self._probes.values())
+        for service in self._leaves[self._probe_turn :: PROBE_ROUND_TICKS]:
+            for address in self._list_due(now, service):
+                if address not in probed:
+                    actions += self._probe(now, service, address)
+        self._probe_turn = (self._probe_turn + 1) % PROBE_ROUND_TICKS
+        return actions
+
+    def _list_due(self, now: float, service: model.Service) -> list[str]:
+        addresses = [replica.address for replica in service.replicas]
+        due = [
+            address for address in addresses if self._table.is_probe_due(now, address)
+        ]
+        heard = [self._table.last_heard(address) for address in addresses]
+        latest = max((time for time in heard if time is not None), default=None)
+        if due or (latest is not None and now - latest < STALE_NEWS_S):
+            return due
+        listed = [
+            address
+            for address in addresses
+            if self._table.state(now, address) is not model.ServerState.UNLISTED
+        ]
+        return [self._random.choice(listed)] if listed else []
+
+    def _probe(
+        self, now: float, service: model.Service, address: str
+    ) -> list[events.Action]:
+        send_id = self._dispatcher.begin(now, service, address, is_request=False)
+        if send_id is None:
+            return []
+        self._probes[send_id] = address
+        headers = (("x-request-id", f"probe-{send_id}"),)
+        return [
+            events.SendToServer(
+                send_id, address, "GET", "/status", headers, b"", PROBE_TIMEOUT_S
+            ),
+            events.CountMetric("probe.sent"),
+        ]
+
+
+def _read_wanted(asked: messages.Digest | None) -> tuple[str, ...]:
+    """Return the servers that a peer knows nothing of and asks about."""
+    if asked is None or not asked.facts:
+        return ()
+    try:
+        wanted, _ = msgspec.msgpack.decode(asked.facts, type=_Facts)
+    except msgspec.MsgspecError:
+        return ()
+    return wanted[:UNKNOWN_ASKED_MAX]
+
+
+def _note_revision_change(change: revisions.Change) -> list[events.Action]:
+    def show(mark: revisions.Mark | None) -> str:
+        return "none" if mark is None else f"{mark.revision}/{mark.sha256[:12]}"
+
+    actions: list[events.Action] = [
+        events.NoteChange(
+            "configuration",
+            show(change.before),
+            show(change.after),
+            f"{change.cause.value} from {change.source}",
+        ),
+        events.CountMetric(f"config.{change.cause.value}"),
+    ]
+    offered = show(change.offered) if change.offered else show(change.after)
+    text = f"revision {offered} {change.cause.value}, source {change.source}"
+    actions.append(events.WriteLog("config:", text))
+    for problem in change.notes[:3]:
+        actions.append(events.WriteLog("config:", str(problem)))
+    return actions
+
+
+def _note_member_changes(
+    changes: typing.Iterable[membership.Change],
+) -> list[events.Action]:
+    return [
+        events.NoteChange(
+            f"entry {change.name}",
+            change.before,
+            change.after,
+            f"{change.cause.value} by {change.source}",
+        )
+        for change in changes
+    ]
--- a/acacialatch/events.py
+++ b/acacialatch/events.py
@@ -3,7 +3,7 @@
 import enum
 import typing
 
-from acacialatch import attempts, bodies, errors, model
+from acacialatch import attempts, bodies, messages, model, requestdata
 
 
 class SendCause(enum.Enum):
@@ -70,7 +70,7 @@
 
     call_id: str
     key: str
-    outcome: outcomes.Outcome
+    outcome: requestdata.Outcome
 
 
 class ForwardFailed(typing.NamedTuple):
@@ -135,15 +135,33 @@
 
 
 class ConfigurationRead(typing.NamedTuple):
-    """The configuration service or a peer gave a configuration text."""
+    """The configuration service or a peer gave a configuration text.
+
+    Attributes
+    ----------
+    revision : int
+        Revision under which the source holds the text.
+    text : bytes
+        The TOML text.
+    source : str
+        `revisions.SERVICE` or a name made by `revisions.name_peer`.
+    asked_at : float
+        Time at which it was asked for, in seconds.
+    is_source_current : bool
+        Whether the source says that its configuration is current.
+    """
 
     revision: int
     text: bytes
     source: str
+    asked_at: float
+    is_source_current: bool = True
 
 
 class ServiceAnswered(typing.NamedTuple):
-    """The configuration service answered that it holds nothing newer."""
+    """The configuration service, asked at `asked_at`, holds nothing newer."""
+
+    asked_at: float
 
 
 class ServiceFailed(typing.NamedTuple):
@@ -158,6 +176,12 @@
     instances: tuple[typing.Any, ...]
 
 
+class ListFailed(typing.NamedTuple):
+    """A read of the platform's list of instances failed."""
+
+    detail: str
+
+
 class DigestAsked(typing.NamedTuple):
     """A peer sent its digest and waits for the one in return.
 
@@ -241,7 +265,7 @@
     """Gives the answer to a non-idempotent request."""
 
     call_id: str
-    outcome: outcomes.Outcome
+    outcome: requestdata.Outcome
 
 
 class ForwardToPeer(typing.NamedTuple):
@@ -320,6 +344,7 @@
     """Fetches the configuration text from a peer."""
 
     peer_address: str
+    name: str
 
 
 class ReadService(typing.NamedTuple):
@@ -355,6 +380,7 @@
     | ServiceAnswered
     | ServiceFailed
     | InstancesListed
+    | ListFailed
     | DigestAsked
     | DigestAnswered
     | PeerFailed
--- a/acacialatch/gateway.py
+++ b/acacialatch/gateway.py
@@ -14,7 +14,7 @@
     errors,
     events,
     httpserver,
-    outcomes,
+    requestdata,
 )
 
 Submit: typing.TypeAlias = typing.Callable[[events.Event], None]
@@ -201,5 +201,5 @@
 def _respond_request(answer: events.AnswerRequest) -> httpserver.Response:
     if isinstance(answer.outcome, errors.Failure):
         return refuse(answer.outcome.kind, answer.outcome.detail)
-    reply: outcomes.Reply = answer.outcome
+    reply: requestdata.Reply = answer.outcome
     return httpserver.Response(reply.status, reply.body)
--- a/acacialatch/messages.py
+++ b/acacialatch/messages.py
@@ -36,10 +36,14 @@
         IP address and port for callers and for peers.
     leaving : bool
         Whether the sender is shutting down.
+    uptime_s : float
+        Time since the start of the process, in seconds.
     revision : int
         Revision of the configuration in force; 0 if there is none.
     digest : str
         SHA-256 of its text in hexadecimal; empty if there is none.
+    is_current : bool
+        Whether the sender may rely on its configuration for new work.
     service_age_s : float
         Time since a successful read of the configuration service that the sender
         knows of, in seconds; infinite if it knows of none.
@@ -57,8 +61,10 @@
     caller_address: _Name
     peer_address: _Name
     leaving: bool
+    uptime_s: _Seconds
     revision: _Count
     digest: _Name
+    is_current: bool
     service_age_s: _Seconds
     facts: bytes = b""
     votes_asked: bytes = b""
--- a/acacialatch/submissions.py
+++ b/acacialatch/submissions.py
@@ -10,7 +10,7 @@
     errors,
     events,
     model,
-    outcomes,
+    requestdata,
     planner,
     requests,
 )
@@ -37,7 +37,7 @@
     dispatcher : dispatch.Dispatcher
         Sends to backend servers.
     ledger : requests.RequestLedger
-        Keys and outcomes.
+        Keys and requestdata.
     """
 
     def __init__(self, dispatcher: dispatch.Dispatcher, ledger: requests.RequestLedger):
@@ -65,10 +65,10 @@
     def start(self, now: float, arrived: events.RequestArrived) -> list[events.Action]:
         """Take a request of a caller or a peer."""
         self._arrived[arrived.call_id] = arrived
-        request = outcomes.Request(
+        request = requestdata.Request(
             arrived.call_id,
             arrived.idempotency_key,
-            outcomes.digest_body(arrived.service, arrived.key, arrived.body.encode()),
+            requestdata.digest_body(arrived.service, arrived.key, arrived.body.encode()),
             arrived.deadline,
             arrived.hops > 0,
         )
@@ -115,7 +115,7 @@
         if sent is None:
             return []
         text = self._texts.pop(sent.request_id)
-        reply = outcomes.Reply(
+        reply = requestdata.Reply(
             event.headers.get("x-request-id", ""), event.status, event.body
         )
         if event.headers.get("x-refused") == "before-run":
@@ -160,27 +160,27 @@
         return self._carry_out(now, self._ledger.shut_down(now))
 
     def _carry_out(
-        self, now: float, decided: list[outcomes.Action]
+        self, now: float, decided: list[requestdata.Action]
     ) -> list[events.Action]:
         actions: list[events.Action] = []
         pending = list(decided)
         while pending:
             action = pending.pop(0)
             match action:
-                case outcomes.Send():
+                case requestdata.Send():
                     pending += self._send(now, action, actions)
-                case outcomes.Forward():
+                case requestdata.Forward():
                     actions.append(self._forward(now, action))
-                case outcomes.Answer():
+                case requestdata.Answer():
                     self._arrived.pop(action.caller, None)
                     actions.append(events.AnswerRequest(action.caller, action.outcome))
-                case outcomes.Close():
+                case requestdata.Close():
                     actions += self._close(now, action.request_id)
         return actions
 
     def _send(
-        self, now: float, send: outcomes.Send, actions: list[events.Action]
-    ) -> list[outcomes.Action]:
+        self, now: float, send: requestdata.Send, actions: list[events.Action]
+    ) -> list[requestdata.Action]:
         """Start a send; returns what the ledger decides when it must not happen."""
         arrived = self._arrived[send.caller]
         service = self._find_leaf(arrived)
@@ -197,7 +197,7 @@
         actions.append(events.CountMetric("request.sent"))
         return []
 
-    def _forward(self, now: float, forward: outcomes.Forward) -> events.Action:
+    def _forward(self, now: float, forward: requestdata.Forward) -> events.Action:
         arrived = self._arrived[forward.caller]
         return events.ForwardToPeer(
             forward.caller, forward.issuer, arrived, max(0.0, forward.deadline - now)
@@ -219,19 +219,19 @@
             self._send_ids.pop(sent.request_id, None)
         return sent
 
-    def _make_view(self, now: float, arrived: events.RequestArrived) -> outcomes.View:
+    def _make_view(self, now: float, arrived: events.RequestArrived) -> requestdata.View:
         if self._dispatcher.store.configuration is None:
             refusal = errors.ErrorKind.NO_CONFIGURATION
-            return outcomes.View((), False, refusal)
+            return requestdata.View((), False, refusal)
         is_current = self._dispatcher.is_current(now)
         service = self._find_leaf(arrived)
         if service is None:
-            return outcomes.View((), is_current, errors.ErrorKind.UNKNOWN_SERVICE)
-        return outcomes.View(self._list_options(now, service), is_current)
+            return requestdata.View((), is_current, errors.ErrorKind.UNKNOWN_SERVICE)
+        return requestdata.View(self._list_options(now, service), is_current)
 
     def _list_options(
         self, now: float, service: model.Service
-    ) -> tuple[outcomes.ReplicaOption, ...]:
+    ) -> tuple[requestdata.ReplicaOption, ...]:
         candidates = [
             self._dispatcher.make_candidate(now, service, replica)
             for replica in service.replicas
@@ -244,7 +244,7 @@
         )
         heard = self._dispatcher.table.last_heard
         return tuple(
-            outcomes.ReplicaOption(
+            requestdata.ReplicaOption(
                 candidate.address,
                 heard(candidate.address) if candidate.connected else None,
             )
@@ -263,7 +263,7 @@
 
 
 def _make_send(
-    now: float, send_id: int, send: outcomes.Send, arrived: events.RequestArrived
+    now: float, send_id: int, send: requestdata.Send, arrived: events.RequestArrived
 ) -> events.SendToServer:
     remaining_s = max(0.0, arrived.deadline - now)
     headers = (
@@ -283,4 +283,3 @@
         remaining_s + LATE_REPLY_S,
         True,
     )
-
