--- /dev/null
+++ b/acacialatch/explanations.py
@@ -0,0 +1,128 @@
+"""Readable text for the steps of a query."""
+
+import typing
+
+from acacialatch import attempts, routing
+
+
+def describe_event(event: attempts.Event) -> str:
+    """Return one line of text for an event."""
+    match event:
+        case attempts.Start(plan):
+            return f"start with {_plan(plan)}"
+        case attempts.View():
+            budget = "budget allows" if event.budget_allows else "budget refuses"
+            count = len(event.candidates)
+            purpose = event.purpose.value
+            return f"view of part {event.part} ({purpose}): {count} replicas, {budget}"
+        case attempts.Reply():
+            ranges = _ranges(event.ranges)
+            body = "" if event.whole else ", body cut short"
+            return (
+                f"reply on attempt {event.attempt}: request {event.request_id}, "
+                f"index {event.index} version {event.version} map "
+                f"{event.partition_map}, ranges {ranges}{body}"
+            )
+        case attempts.Failed():
+            return f"attempt {event.attempt} failed: {event.cause.value}"
+        case attempts.Replan(None):
+            return "no newer snapshot is known"
+        case attempts.Replan(plan):
+            return f"new plan: {_plan(plan)}"
+        case attempts.CallerGone():
+            return "the caller left"
+    return "timer"
+
+
+def describe_decisions(
+    event: attempts.Event,
+    exclusions: typing.Sequence[str],
+    decisions: typing.Sequence[attempts.Decision],
+) -> list[str]:
+    """Return lines of text for the decisions that followed an event.
+
+    Parameters
+    ----------
+    event : attempts.Event
+        The event.
+    exclusions : sequence of str
+        For a `View`, why each candidate may not be sent to; empty if it may.
+    decisions : sequence of attempts.Decision
+        The decisions.
+    """
+    lines = [_decision(event, decision) for decision in decisions]
+    if isinstance(event, attempts.View):
+        lines += _candidates(event, exclusions, decisions)
+    if isinstance(event, attempts.Reply | attempts.Failed) and not decisions:
+        lines.append("nothing to decide")
+    return lines
+
+
+def _candidates(
+    view: attempts.View,
+    exclusions: typing.Sequence[str],
+    decisions: typing.Sequence[attempts.Decision],
+) -> list[str]:
+    sent = {d.address for d in decisions if isinstance(d, attempts.Send)}
+    lines = []
+    for candidate, exclusion in zip(view.candidates, exclusions, strict=True):
+        if candidate.address not in sent:
+            other = "the policy preferred another" if sent else "nothing was sent"
+            text = exclusion or other
+            lines.append(f"skipped {_candidate(candidate)}: {text}")
+    return lines
+
+
+def _candidate(candidate: routing.Candidate) -> str:
+    return (
+        f"{candidate.address} (zone {candidate.zone}, {candidate.state.value}, "
+        f"{candidate.in_flight} in flight, {candidate.latency_s * 1000:.1f} ms)"
+    )
+
+
+def _decision(event: attempts.Event, decision: attempts.Decision) -> str:
+    match decision:
+        case attempts.Choose(part, purpose):
+            return f"choose a replica for part {part} ({purpose.value})"
+        case attempts.Send():
+            chosen = decision.address
+            if isinstance(event, attempts.View):
+                shown = [c for c in event.candidates if c.address == chosen]
+                chosen = _candidate(shown[0]) if shown else chosen
+            return (
+                f"asked {chosen} for part {decision.part} {_ranges(decision.ranges)} "
+                f"as attempt {decision.attempt} ({decision.purpose.value}), "
+                f"until {decision.deadline:.6f} s"
+            )
+        case attempts.Cancel(attempt):
+            return f"gave up attempt {attempt}"
+        case attempts.Wait(part):
+            return f"part {part} waits for a usable replica"
+        case attempts.WakeAt(time):
+            return f"next timer at {time:.6f} s"
+        case attempts.Restart(reason):
+            return f"needs a newer snapshot: {reason}"
+        case attempts.Finish(outcome):
+            return _outcome(outcome)
+    return str(decision)
+
+
+def _outcome(outcome: attempts.Outcome) -> str:
+    kind = "answered"
+    if outcome.failure is not None:
+        kind = f"failed with {outcome.failure.kind.value}"
+    missing = "".join(
+        f"; {gap.service} {gap.keys.start}-{gap.keys.end} missing: {gap.reason}"
+        for gap in outcome.missing
+    )
+    return f"{kind}: covered {outcome.covered} of {outcome.total} keys{missing}"
+
+
+def _plan(plan: attempts.Plan) -> str:
+    versions = ", ".join(f"{index} {version}" for index, version in plan.versions)
+    count = len(plan.parts)
+    return f"{count} parts at revision {plan.revision}, versions {versions}"
+
+
+def _ranges(ranges: typing.Sequence[typing.Any]) -> str:
+    return ", ".join(f"{start}-{end}" for start, end in ranges) or "none"
--- a/acacialatch/parts.py
+++ b/acacialatch/parts.py
@@ -1,14 +1,31 @@
 """Progress of one part of a query: replicas tried, attempts and rows."""
 
+import random
 import typing
 
 from acacialatch import attempts, model, routing
 
+RETRY_DELAY_BASE_S = 0.01
+"""First retry delay, in seconds; longer than one round trip between zones."""
+
+RETRY_DELAY_MAX_S = 0.5
+"""Longest retry delay, in seconds."""
+
+RETRY_DELAY_MIN_S = 0.001
+"""Shortest retry delay near the deadline, in seconds; bounds the attempts."""
+
 NOT_ASKED = "not_asked"
 NO_REPLY_YET = "no_reply_yet"
 NO_USABLE_REPLICA = "no_usable_replica"
 RETRY_BUDGET = "retry_budget"
 PARTIAL_REPLY = "partial_reply"
+"""Reasons for missing ranges, besides the causes of failed attempts."""
+
+SNAPSHOT_GONE = "cannot serve the pinned snapshot"
+RETRY_AFTER = "asked for no request yet"
+ATTEMPT_RUNNING = "an attempt is in progress there"
+FAILED_BEFORE = "failed before, others are preferred"
+"""Reasons for not sending to a candidate."""
 
 
 class Piece(typing.NamedTuple):
@@ -44,6 +61,8 @@
         Time of the next retry, in seconds.
     gone : set of str
         Replicas that cannot serve the pinned snapshot.
+    blocked : bool
+        Whether the part waits for a newer snapshot.
     reason : str
         Why the part is incomplete.
     """
@@ -59,6 +78,7 @@
         self.tries = 0
         self.retry_at: float | None = None
         self.gone: set[str] = set()
+        self.blocked = False
         self.reason = NOT_ASKED
         self._failed: list[str] = []
         self._not_before: dict[str, float] = {}
@@ -82,21 +102,25 @@
         """Return when the next replica may be asked again, in seconds, or None."""
         return min((t for t in self._not_before.values() if t > now), default=None)
 
+    def exclude(self, now: float, candidate: routing.Candidate) -> str:
+        """Return why a candidate may not be sent to now; empty if it may."""
+        if not candidate.usable:
+            return candidate.reason or candidate.state.value
+        if candidate.address in self.gone:
+            return SNAPSHOT_GONE
+        if self._not_before.get(candidate.address, now) > now:
+            return RETRY_AFTER
+        if any(a.address == candidate.address for a in self.running.values()):
+            return ATTEMPT_RUNNING
+        return ""
+
     def list_eligible(self, now: float, view: attempts.View) -> list[routing.Candidate]:
         """Return the candidates that may be sent to now, the preferred ones only.
 
         Replicas that failed come after all others, the last one to fail last. A
         hedge goes to no replica that failed.
         """
-        busy = {attempt.address for attempt in self.running.values()}
-        allowed = [
-            candidate
-            for candidate in view.candidates
-            if candidate.usable
-            and candidate.address not in busy
-            and candidate.address not in self.gone
-            and self._not_before.get(candidate.address, now) <= now
-        ]
+        allowed = [c for c in view.candidates if not self.exclude(now, c)]
         fresh = [c for c in allowed if c.address not in self._failed]
         if fresh or view.purpose is attempts.Purpose.HEDGE:
             return fresh
@@ -122,6 +146,29 @@
         return True
 
 
+def delay_retry(seed: int, part: int, tries: int, remaining_s: float) -> float:
+    """Return the delay before a retry, in seconds.
+
+    The delay doubles with each try, with jitter between half and all of it. It is
+    at most half of the remaining time, so that retries go on up to the deadline.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the query.
+    part : int
+        Number of the part.
+    tries : int
+        Unsuccessful attempts since the last progress, from 1.
+    remaining_s : float
+        Time to the deadline, in seconds.
+    """
+    doublings = min(tries - 1, 16)
+    jitter = random.Random(f"{seed}/{part}/{tries}").uniform(0.5, 1.0)
+    delay = min(RETRY_DELAY_MAX_S, RETRY_DELAY_BASE_S * 2**doublings) * jitter
+    return max(RETRY_DELAY_MIN_S, min(delay, remaining_s / 2))
+
+
 def _overlap(
     left: tuple[model.KeyRange, ...], right: tuple[model.KeyRange, ...]
 ) -> bool:
--- /dev/null
+++ b/acacialatch/records.py
@@ -0,0 +1,434 @@
+"""Explanation records: writing, verification and rate."""
+
+import math
+import re
+import typing
+
+import msgspec
+import result
+
+from acacialatch import attempts, digests, model
+
+FORMAT = 1
+"""Number of the record format."""
+
+RECORD_BYTES_MAX = 262_144
+"""Default bound of a record, in bytes; about 2,000 steps."""
+
+RECORD_BYTES_MIN = 4_096
+"""Smallest bound of a record, in bytes; room for the header and the end."""
+
+_END_BYTES = 512
+"""Room kept for the last two lines, in bytes."""
+
+_EVENTS = {
+    kind.__name__: kind
+    for kind in (
+        attempts.Start,
+        attempts.View,
+        attempts.Reply,
+        attempts.Failed,
+        attempts.Timer,
+        attempts.Replan,
+        attempts.CallerGone,
+    )
+}
+_DECISIONS = {
+    kind.__name__: kind
+    for kind in (
+        attempts.Choose,
+        attempts.Send,
+        attempts.Cancel,
+        attempts.Wait,
+        attempts.WakeAt,
+        attempts.Restart,
+        attempts.Finish,
+    )
+}
+
+
+class Header(typing.TypedDict):
+    """What a record needs besides the events.
+
+    Attributes
+    ----------
+    answer_id : str
+        Identifier of the answer.
+    entry_instance : str
+        Address of the entry instance.
+    incarnation : str
+        Run of the entry instance.
+    revision : int
+        Configuration revision in force at the start.
+    configuration_sha256 : str
+        SHA-256 of the configuration text, in hexadecimal.
+    membership : tuple of str
+        Entry instances that this one knew of.
+    query : model.Query
+        The query.
+    floor : tuple of int
+        Numerator and denominator of the smallest coverage of a full page.
+    seed : int
+        Seed of the query.
+    policy : str
+        Class name of the replica policy.
+    """
+
+    answer_id: str
+    entry_instance: str
+    incarnation: str
+    revision: int
+    configuration_sha256: str
+    membership: tuple[str, ...]
+    query: model.Query
+    floor: tuple[int, int]
+    seed: int
+    policy: str
+
+
+class Step(typing.NamedTuple):
+    """One event and the decisions that followed.
+
+    Rows in `Reply` and `Finish` are replaced by their number and SHA-256.
+    """
+
+    time: float
+    event: attempts.Event
+    decisions: tuple[attempts.Decision, ...]
+
+
+class Record(typing.NamedTuple):
+    """A verified record.
+
+    Attributes
+    ----------
+    header : Header
+        Query and circumstances.
+    steps : tuple of Step
+        Events in order.
+    dropped : int
+        Number of steps left out at the end.
+    reason : str or None
+        Why the record is incomplete; None if it is complete.
+    """
+
+    header: Header
+    steps: tuple[Step, ...]
+    dropped: int
+    reason: str | None
+
+
+class Problem(typing.NamedTuple):
+    """Where and why a record is refused; lines count from 1."""
+
+    line: int
+    field: str
+    text: str
+
+
+class _End(typing.TypedDict):
+    steps: int
+    dropped: int
+    reason: str | None
+
+
+class _HeaderLine(typing.TypedDict):
+    format: int
+    header: Header
+
+
+class _StepLine(typing.TypedDict):
+    time: float
+    event: tuple[str, msgspec.Raw]
+    decisions: tuple[tuple[str, msgspec.Raw], ...]
+
+
+class _EndLine(typing.TypedDict):
+    end: _End
+
+
+class RecordWriter:
+    """Collects one record in memory, bounded in size.
+
+    Parameters
+    ----------
+    header : Header
+        Query and circumstances. If it takes over half of the bound, the membership
+        view and the query body are left out and the record is incomplete.
+    bytes_max : int
+        Bound of the record, in bytes.
+
+    Raises
+    ------
+    ValueError
+        If the bound is under `RECORD_BYTES_MIN`.
+    """
+
+    def __init__(self, header: Header, bytes_max: int = RECORD_BYTES_MAX) -> None:
+        if bytes_max < RECORD_BYTES_MIN:
+            raise ValueError(f"bound is under {RECORD_BYTES_MIN} bytes")
+        self._bytes_max = bytes_max
+        self._chain = digests.Chain()
+        self._lines: list[bytes] = []
+        self._size = 0
+        self._steps = 0
+        self._dropped = 0
+        self._reason: str | None = None
+        content = _encode({"format": FORMAT, "header": header})
+        if content is None or len(content) > bytes_max // 2:
+            self._reason = "the header is too large or cannot be encoded"
+            query = header["query"]._replace(body="")
+            header = {**header, "membership": (), "query": query}
+            content = msgspec.json.encode({"format": FORMAT, "header": header})
+        self._append(content)
+
+    def add(
+        self,
+        now: float,
+        event: attempts.Event,
+        decisions: typing.Sequence[attempts.Decision],
+    ) -> None:
+        """Add a step; over the bound, it and all later ones are only counted.
+
+        Parameters
+        ----------
+        now : float
+            Time of the event, in seconds.
+        event : attempts.Event
+            Event given to `Scatter.handle`.
+        decisions : sequence of attempts.Decision
+            Decisions that it returned.
+        """
+        if self._dropped:
+            self._dropped += 1
+            return
+        content = _encode_step(now, event, decisions)
+        if content is None:
+            self._drop("a step cannot be encoded")
+        elif self._size + len(content) + _END_BYTES > self._bytes_max:
+            self._drop(f"the record exceeds {self._bytes_max} bytes")
+        else:
+            self._append(content)
+            self._steps += 1
+
+    def finish(self) -> bytes:
+        """Return the record as JSON lines with its SHA-256 in the last one.
+
+        Called once, after the last step.
+        """
+        end = {"steps": self._steps, "dropped": self._dropped, "reason": self._reason}
+        self._append(msgspec.json.encode({"end": end}))
+        self._lines.append(self._chain.seal())
+        return b"".join(self._lines)
+
+    def _drop(self, reason: str) -> None:
+        self._dropped += 1
+        self._reason = self._reason or reason
+
+    def _append(self, content: bytes) -> None:
+        line = self._chain.add(content)
+        self._lines.append(line)
+        self._size += len(line)
+
+
+def _encode(line: dict[str, typing.Any]) -> bytes | None:
+    try:
+        return msgspec.json.encode(line)
+    except (TypeError, ValueError):
+        return None
+
+
+def _encode_step(
+    now: float,
+    event: attempts.Event,
+    decisions: typing.Sequence[attempts.Decision],
+) -> bytes | None:
+    if not _is_finite(now, event):
+        return None
+    try:
+        tagged = [_tag(item) for item in (event, *decisions)]
+    except (TypeError, ValueError):
+        return None
+    line = {"time": float(now), "event": tagged[0], "decisions": tagged[1:]}
+    return _encode(line)
+
+
+def _is_finite(now: float, event: attempts.Event) -> bool:
+    # JSON has no infinity; msgspec would write null.
+    numbers = [now]
+    if isinstance(event, attempts.View):
+        numbers += [event.hedge_delay_s or 0.0, event.attempt_timeout_s]
+        numbers += [candidate.latency_s for candidate in event.candidates]
+    elif isinstance(event, attempts.Failed):
+        numbers.append(event.retry_after_s)
+    return all(map(math.isfinite, numbers))
+
+
+def _tag(item: attempts.Event | attempts.Decision) -> tuple[str, typing.Any]:
+    if isinstance(item, attempts.Reply):
+        item = item._replace(rows=digests.digest_rows(item.rows))
+    elif isinstance(item, attempts.Finish):
+        rows = digests.digest_rows(item.outcome.rows)
+        item = attempts.Finish(item.outcome._replace(rows=rows))
+    return type(item).__name__, item
+
+
+def read(data: bytes) -> result.Result[Record, Problem]:
+    """Verify and decode a record.
+
+    The hashes show accidents and edits by hand. They are not signatures: someone
+    who recomputes them is not detected.
+
+    Parameters
+    ----------
+    data : bytes
+        Whole record as given by `RecordWriter.finish`.
+
+    Returns
+    -------
+    result.Result
+        The record, or the first place at which it is edited or cut short.
+    """
+    lines = data.split(b"\n")
+    if lines.pop() != b"":
+        return result.Err(Problem(len(lines) + 1, "sha256", "the record is cut short"))
+    chain = digests.Chain()
+    for number, line in enumerate(lines, 1):
+        if line.startswith(b'{"sha256"'):
+            if line + b"\n" != chain.seal():
+                return result.Err(Problem(number, "sha256", "the hash differs"))
+            if number < len(lines):
+                text = "the record goes on after its end"
+                return result.Err(Problem(number + 1, "line", text))
+            return _decode(lines[:-1])
+        problem = _verify(number, line, chain)
+        if problem is not None:
+            return result.Err(problem)
+    return result.Err(Problem(len(lines) + 1, "sha256", "the record is cut short"))
+
+
+def _verify(number: int, line: bytes, chain: digests.Chain) -> Problem | None:
+    content = digests.remove_check(line)
+    if content is None:
+        return Problem(number, "check", "the line has no check value")
+    if chain.add(content) != line + b"\n":
+        problem = _find_bad_field(number, line)
+        return problem or Problem(number, "check", "the line was edited")
+    return None
+
+
+def _find_bad_field(number: int, line: bytes) -> Problem | None:
+    kind = _HeaderLine if number == 1 else _StepLine
+    if line.startswith(b'{"end"'):
+        kind = _EndLine
+    try:
+        msgspec.json.decode(line, type=kind)
+    except msgspec.DecodeError as error:
+        return _explain(number, "line", error)
+    return None
+
+
+def _explain(number: int, field: str, error: Exception) -> Problem:
+    path = re.search(r"`\$\.?(.*)`$", str(error))
+    if path and path[1]:
+        field = path[1] if field == "line" else f"{field}.{path[1]}"
+    return Problem(number, field, str(error))
+
+
+def _decode(lines: list[bytes]) -> result.Result[Record, Problem]:
+    number, steps = 1, []
+    try:
+        if len(lines) < 2:
+            return result.Err(Problem(1, "header", "header or end is missing"))
+        first = msgspec.json.decode(lines[0], type=_HeaderLine)
+        if first["format"] != FORMAT:
+            return result.Err(Problem(1, "format", f"format is {first['format']}"))
+        for number, line in enumerate(lines[1:-1], 2):
+            decoded = _decode_step(number, line)
+            if isinstance(decoded, result.Err):
+                return decoded
+            steps.append(decoded.ok_value)
+        number = len(lines)
+        end = msgspec.json.decode(lines[-1], type=_EndLine)["end"]
+    except msgspec.DecodeError as error:
+        return result.Err(_explain(number, "line", error))
+    if end["steps"] != len(steps):
+        return result.Err(Problem(number, "end.steps", "steps are missing"))
+    return result.Ok(
+        Record(first["header"], tuple(steps), end["dropped"], end["reason"])
+    )
+
+
+def _decode_step(number: int, line: bytes) -> result.Result[Step, Problem]:
+    field = "line"
+    try:
+        step = msgspec.json.decode(line, type=_StepLine)
+        field = "event"
+        event = _untag(step["event"], _EVENTS)
+        decisions = []
+        for position, decision in enumerate(step["decisions"]):
+            field = f"decisions[{position}]"
+            decisions.append(_untag(decision, _DECISIONS))
+    except msgspec.DecodeError as error:
+        return result.Err(_explain(number, field, error))
+    return result.Ok(Step(step["time"], event, tuple(decisions)))
+
+
+def _untag(tagged: tuple[str, msgspec.Raw], kinds: dict[str, type]) -> typing.Any:
+    name, raw = tagged
+    if name not in kinds:
+        raise msgspec.ValidationError(f"kind {name!r} is not known")
+    item = msgspec.json.decode(raw, type=kinds[name])
+    if isinstance(item, attempts.Reply):
+        _check_digest(item.rows)
+    elif isinstance(item, attempts.Finish):
+        _check_digest(item.outcome.rows)
+    return item
+
+
+def _check_digest(rows: typing.Sequence[typing.Any]) -> None:
+    try:
+        msgspec.convert(list(rows), type=tuple[int, str])
+    except msgspec.ValidationError as error:
+        raise msgspec.ValidationError(f"rows are no digest: {error}") from error
+
+
+class RateLimit:
+    """Bounds records and bytes per second; bursts are at most one second's worth.
+
+    Parameters
+    ----------
+    records_per_s : float
+        Most records per second.
+    bytes_per_s : float
+        Most bytes per second; larger single records are always dropped.
+    """
+
+    def __init__(self, records_per_s: float, bytes_per_s: float) -> None:
+        self._rates = (records_per_s, bytes_per_s)
+        self._tokens = [records_per_s, bytes_per_s]
+        self._time: float | None = None
+        self.dropped_records = 0
+        self.dropped_bytes = 0
+
+    def allows(self, now: float, size: int) -> bool:
+        """Take a record of `size` bytes, or count it as dropped.
+
+        Parameters
+        ----------
+        now : float
+            Time, in seconds.
+        size : int
+            Size of the record, in bytes.
+        """
+        elapsed = max(0.0, now - self._time) if self._time is not None else 0.0
+        self._time = now if self._time is None else max(now, self._time)
+        for i, rate in enumerate(self._rates):
+            self._tokens[i] = min(rate, self._tokens[i] + elapsed * rate)
+        if self._tokens[0] < 1 or self._tokens[1] < size:
+            self.dropped_records += 1
+            self.dropped_bytes += size
+            return False
+        self._tokens[0] -= 1
+        self._tokens[1] -= size
+        return True
--- a/acacialatch/scatter.py
+++ b/acacialatch/scatter.py
@@ -1,26 +1,22 @@
 """One query from its start to its answer, as a pure state machine."""
 
-import heapq
 import itertools
-import random
-import typing
 
-from acacialatch import attempts, coverage, errors, model, parts, plans, routing
-
-RETRY_DELAY_BASE_S = 0.01
-"""First retry delay, in seconds; longer than one round trip between zones."""
-
-RETRY_DELAY_MAX_S = 0.5
-"""Longest retry delay, in seconds."""
-
-RETRY_DELAY_MIN_S = 0.001
-"""Shortest retry delay near the deadline, in seconds; bounds the attempts."""
+from acacialatch import (
+    attempts,
+    coverage,
+    errors,
+    model,
+    outcomes,
+    parts,
+    plans,
+    routing,
+    timers,
+)
 
 RESTARTS_MAX = 3
 """Most restarts at a newer snapshot, each of which repeats all sub-requests."""
 
-_ATTEMPT, _HEDGE, _RETRY = range(3)
-
 
 class Scatter:
     """State of one query.
@@ -63,14 +59,14 @@
         self._finished = False
         self._restarts = 0
         self._replanning = False
-        self._no_newer = False
+        self._lacks_version = False
+        self._versions: dict[str, int] = {}
         self._parts: list[parts.Progress] = []
         self._coverage = coverage.Coverage(())
         self._rows = 0
         self._running: dict[int, attempts.Attempt] = {}
         self._numbers = itertools.count(1)
-        self._timers: list[tuple[float, int, int, int]] = []
-        self._timer_numbers = itertools.count()
+        self._timers = timers.TimerQueue(self._is_wanted)
         self._armed: float | None = None
         self._decisions: list[attempts.Decision] = []
 
@@ -101,6 +97,26 @@
         decisions, self._decisions = self._decisions, []
         return decisions
 
+    def explain(self, now: float, view: attempts.View) -> tuple[str, ...]:
+        """Return for each candidate why it may not be sent to, or an empty text.
+
+        Parameters
+        ----------
+        now : float
+            Time of the view, in seconds.
+        view : attempts.View
+            A view that has not been handled yet.
+        """
+        if not 0 <= view.part < len(self._parts):
+            return tuple("" for _ in view.candidates)
+        part = self._parts[view.part]
+        eligible = part.list_eligible(now, view)
+        return tuple(
+            part.exclude(now, candidate)
+            or ("" if candidate in eligible else parts.FAILED_BEFORE)
+            for candidate in view.candidates
+        )
+
     def _dispatch(self, now: float, event: attempts.Event) -> None:
         match event:
             case attempts.Start():
@@ -128,8 +144,7 @@
 
     def _adopt(self, plan: attempts.Plan) -> None:
         self._plan = plan
-        versions = dict(plan.versions)
-        self._versions = versions
+        self._versions = dict(plan.versions)
         self._parts = [parts.Progress(*item) for item in enumerate(plan.parts)]
         self._coverage = coverage.Coverage((p.service, p.keys) for p in plan.parts)
         self._rows = 0
@@ -158,7 +173,6 @@
         eligible = part.list_eligible(now, view)
         if view.purpose is attempts.Purpose.HEDGE:
             if eligible and view.budget_allows and part.running:
-                part.hedged = True
                 self._send(now, part, view, eligible)
         elif not eligible:
             self._lack_replica(now, part, view)
@@ -191,11 +205,23 @@
         )
         self._running[number] = part.running[number] = attempt
         part.sent += 1
-        self._set_timer(attempt.deadline, _ATTEMPT, number)
+        part.hedged = part.hedged or view.purpose is attempts.Purpose.HEDGE
+        self._timers.set(attempt.deadline, timers.TimerKind.ATTEMPT, number)
         if view.hedge_delay_s is not None and not part.hedged:
-            self._set_timer(now + view.hedge_delay_s, _HEDGE, number)
-        ranges = self._coverage.missing_of(part.spec.service)
-        self._decide(attempts.Send(*_send_fields(attempt), ranges))
+            hedge_at = now + view.hedge_delay_s
+            self._timers.set(hedge_at, timers.TimerKind.HEDGE, number)
+        self._decide(
+            attempts.Send(
+                part.number,
+                number,
+                attempt.address,
+                attempt.purpose,
+                attempt.request_id,
+                attempt.version,
+                attempt.deadline,
+                self._coverage.missing_of(part.spec.service),
+            )
+        )
 
     def _lack_replica(
         self, now: float, part: parts.Progress, view: attempts.View
@@ -208,7 +234,8 @@
         part.reason = parts.NO_USABLE_REPLICA
         allowed_at = part.next_allowed(now)
         if allowed_at is not None and any(c.usable for c in view.candidates):
-            self._retry_at(part, allowed_at)
+            # Asking again soon also finds another replica that became usable.
+            self._retry_at(part, min(allowed_at, now + parts.RETRY_DELAY_MAX_S))
             return
         part.expects = view.purpose
         self._decide(attempts.Wait(part.number))
@@ -302,39 +329,28 @@
 
     def _retry_later(self, now: float, part: parts.Progress) -> None:
         part.tries += 1
-        growth = 2 ** min(part.tries - 1, 16)
-        jitter = random.Random(f"{self._seed}/{part.number}/{part.tries}")
-        delay = min(RETRY_DELAY_MAX_S, RETRY_DELAY_BASE_S * growth)
-        delay *= jitter.uniform(0.5, 1.0)
-        # Halving the remaining time keeps retries going up to the deadline.
-        delay = min(delay, (self._query.deadline - now) / 2)
-        self._retry_at(part, now + max(delay, RETRY_DELAY_MIN_S))
+        remaining_s = self._query.deadline - now
+        delay = parts.delay_retry(self._seed, part.number, part.tries, remaining_s)
+        self._retry_at(part, now + delay)
 
     def _retry_at(self, part: parts.Progress, time: float) -> None:
         part.retry_at = time
-        self._set_timer(time, _RETRY, part.number)
-
-    def _set_timer(self, time: float, kind: int, number: int) -> None:
-        entry = (time, next(self._timer_numbers), kind, number)
-        heapq.heappush(self._timers, entry)
+        self._timers.set(time, timers.TimerKind.RETRY, part.number)
 
-    def _is_due(self, time: float, kind: int, number: int) -> bool:
-        if kind == _RETRY:
-            return self._parts[number].retry_at == time
-        return number in self._running
+    def _is_wanted(self, entry: timers.Entry) -> bool:
+        if entry.kind is timers.TimerKind.RETRY:
+            return self._parts[entry.number].retry_at == entry.time
+        return entry.number in self._running
 
     def _timer(self, now: float) -> None:
         self._armed = None
-        while self._timers and self._timers[0][0] <= now:
-            time, _, kind, number = heapq.heappop(self._timers)
-            if not self._is_due(time, kind, number):
-                continue
-            if kind == _RETRY:
-                self._ask(self._parts[number])
-            elif kind == _HEDGE:
-                self._hedge(self._parts[self._running[number].part])
+        while (entry := self._timers.pop(now)) is not None:
+            if entry.kind is timers.TimerKind.RETRY:
+                self._ask(self._parts[entry.number])
+            elif entry.kind is timers.TimerKind.HEDGE:
+                self._hedge(self._parts[self._running[entry.number].part])
             else:
-                self._time_out(now, self._running[number])
+                self._time_out(now, self._running[entry.number])
 
     def _hedge(self, part: parts.Progress) -> None:
         if not part.hedged:
@@ -350,13 +366,10 @@
         """Ask for a timer if the next one is earlier than the one asked for."""
         if self._finished:
             return
-        while self._timers and not self._is_due(
-            self._timers[0][0], *self._timers[0][2:]
-        ):
-            heapq.heappop(self._timers)
+        earliest = self._timers.peek()
         wake = self._query.deadline
-        if self._timers:
-            wake = min(wake, self._timers[0][0])
+        if earliest is not None:
+            wake = min(wake, earliest.time)
         if self._armed is None or wake < self._armed:
             self._armed = wake
             self._decide(attempts.WakeAt(wake))
@@ -367,6 +380,7 @@
         self, now: float, part: parts.Progress, view: attempts.View
     ) -> None:
         if self._replanning:
+            part.blocked = True
             return
         patience = min(view.hedge_delay_s or 0.0, view.attempt_timeout_s)
         urgent_rows = self._query.kind is model.QueryKind.URGENT and self._rows > 0
@@ -374,12 +388,13 @@
         if self._restarts >= RESTARTS_MAX or urgent_rows or late:
             self._stay(now, part)
             return
-        self._replanning = True
+        part.blocked = self._replanning = True
         self._decide(attempts.Restart(f"{part.spec.service}: {part.reason}"))
 
     def _stay(self, now: float, part: parts.Progress) -> None:
         # A replica that lags behind the snapshot may have caught up later.
         part.gone.clear()
+        part.blocked = False
         self._retry_later(now, part)
 
     def _replan(self, now: float, plan: attempts.Plan | None) -> None:
@@ -387,12 +402,12 @@
             return
         self._replanning = False
         if plan is None or plans.check_successor(self._plan, plan) is not None:
-            self._no_newer = True
+            self._lacks_version = True
             for part in self._parts:
-                if part.gone and not part.running:
+                if part.blocked:
                     self._stay(now, part)
             return
-        self._no_newer = False
+        self._lacks_version = False
         self._restarts += 1
         for attempt in list(self._running.values()):
             self._cancel(attempt)
@@ -401,73 +416,27 @@
     # Answers.
 
     def _check_complete(self) -> None:
-        if self._is_complete():
+        if outcomes.is_complete(self._query, self._floor, self._coverage, self._rows):
             self._finish(None)
 
-    def _is_complete(self) -> bool:
-        if self._coverage.is_whole():
-            return True
-        if self._query.kind is model.QueryKind.FULL_PAGE:
-            return self._coverage.reaches(self._floor)
-        if self._query.kind is model.QueryKind.URGENT:
-            return self._rows >= self._query.limit
-        return False
-
     def _finish_at_deadline(self) -> None:
-        covered, total = self._coverage.covered, self._coverage.total
-        detail = f"covered {covered} of {total} keys"
-        kind = errors.ErrorKind.DEADLINE_EXCEEDED
-        if self._started and self._query.kind is model.QueryKind.URGENT:
-            self._finish(None)
-            return
-        if self._started and self._query.kind is model.QueryKind.FULL_PAGE:
-            kind = errors.ErrorKind.COVERAGE_BELOW_FLOOR
-            detail += f", floor {self._floor[0]}/{self._floor[1]}"
-        elif self._no_newer:
-            kind = errors.ErrorKind.NO_COMMON_VERSION
-        self._finish(errors.Failure(kind, detail))
+        if not self._started:
+            failure = errors.Failure(errors.ErrorKind.DEADLINE_EXCEEDED, "not started")
+        else:
+            failure = outcomes.judge_at_deadline(
+                self._query, self._floor, self._coverage, self._lacks_version
+            )
+        self._finish(failure)
 
     def _finish(self, failure: errors.Failure | None) -> None:
-        missing = tuple(self._list_missing())
-        for attempt in list(self._running.values()):
-            self._cancel(attempt)
-        sources, rows = self._collect_rows() if failure is None else ((), ())
         self._finished = True
-        outcome = attempts.Outcome(
+        outcome = outcomes.build(
             failure,
-            rows,
-            sources,
+            self._query.limit,
             self._plan.versions,
-            self._coverage.covered,
-            self._coverage.total,
-            missing,
+            self._coverage,
+            self._parts,
         )
+        for attempt in list(self._running.values()):
+            self._cancel(attempt)
         self._decide(attempts.Finish(outcome))
-
-    def _list_missing(self) -> typing.Iterator[attempts.Missing]:
-        reasons = {part.spec.service: part.describe_gap() for part in self._parts}
-        for gap in self._coverage.missing():
-            yield attempts.Missing(gap.service, gap.keys, reasons[gap.service])
-
-    def _collect_rows(
-        self,
-    ) -> tuple[tuple[tuple[int, int], ...], tuple[typing.Any, ...]]:
-        sources, rows = [], []
-        for piece in (piece for part in self._parts for piece in part.pieces):
-            taken = piece.rows[: max(0, self._query.limit - len(rows))]
-            rows.extend(taken)
-            if len(taken):
-                sources.append((piece.attempt, len(taken)))
-        return tuple(sources), tuple(rows)
-
-
-def _send_fields(attempt: attempts.Attempt) -> tuple[typing.Any, ...]:
-    return (
-        attempt.part,
-        attempt.number,
-        attempt.address,
-        attempt.purpose,
-        attempt.request_id,
-        attempt.version,
-        attempt.deadline,
-    )
