--- a/acacialatch/control.py
+++ b/acacialatch/control.py
@@ -14,11 +14,18 @@
     messages,
     model,
     ownership,
+    permits,
     revisions,
 )
 
 DIGEST_PERIOD_S = 0.5
 
+DEMAND_DELAY_S = 0.2
+"""Sends that lack a permit bring the next digest forward to this delay."""
+
+DEMAND_MAX = 8
+"""Permits asked for at once for one server; a budget is not larger today."""
+
 WATCH_WAIT_S = 1.0
 """Longest time for which the configuration service may hold a watch, in seconds."""
 
@@ -85,6 +92,7 @@
         self._is_listing = False
         self._next_list = now
         self._next_digest = now
+        self._last_digest = now
         self._round = 0
         self._exchanging: set[str] = set()
         self._probes: dict[int, str] = {}
@@ -115,7 +123,6 @@
         actions += self._note_currency(now)
         actions += self._read_service(now)
         actions += self._list_instances(now)
-        actions += self._owner.tick(now, self._list_live(now))
         actions += self._send_digests(now)
         actions += self._send_probes(now)
         return actions
@@ -268,7 +275,8 @@
         """Take the digest with which a peer answered."""
         self._exchanging.discard(event.peer_address)
         actions = self._take_digest(now, event.digest, event.sent_at)
-        return actions + self._owner.receive(now, event.digest, event.sent_at)
+        self._owner.receive(now, event.digest)
+        return actions
 
     def note_peer_failure(
         self, now: float, event: events.PeerFailed
@@ -325,18 +333,21 @@
         return dispatch.note_changes(changes)
 
     def _send_digests(self, now: float) -> list[events.Action]:
-        if now < self._next_digest:
+        is_wanted = bool(self._dispatcher.demand) and now >= self._last_digest + (
+            DEMAND_DELAY_S
+        )
+        if now < self._next_digest and not is_wanted:
             return []
+        self._last_digest = now
         self._next_digest = now + DIGEST_PERIOD_S * self._random.uniform(0.9, 1.1)
         self._round += 1
         actions: list[events.Action] = []
-        digest: messages.Digest | None = None
+        digest = self._make_digest(now, None)
         for peer in self._members.choose_gossip_targets(now, self._round):
             # A slow peer gets the next digest after the answer to the last one.
             if peer.address in self._exchanging:
                 continue
             self._exchanging.add(peer.address)
-            digest = digest or self._make_digest(now, None)
             actions.append(events.ExchangeDigest(peer.address, digest))
         return actions
 
@@ -350,8 +361,13 @@
             self._table.list_unknown(UNKNOWN_ASKED_MAX),
             self._table.facts(now, wanted),
         )
-        granted = self._owner.answer(now, asked) if asked else ownership.NOTHING
-        requested = self._owner.ask(now) if asked is None else ownership.NOTHING
+        granted = requested = ownership.NOTHING
+        if asked is not None:
+            granted = self._owner.answer(now, asked)
+        elif self._is_leaving:
+            requested = self._owner.release(now)
+        else:
+            requested = self._ask_owners(now)
         return messages.Digest(
             instance=identity.name,
             incarnation=identity.incarnation,
@@ -385,8 +401,17 @@
                 READ_PERIOD_MIN_S, READ_PERIOD_PER_INSTANCE_S
             )
 
-    def _list_live(self, now: float) -> tuple[str, ...]:
-        return self._members.list_live_incarnations(now)
+    def _ask_owners(self, now: float) -> ownership.Carried:
+        demand = [
+            permits.Demand(
+                address,
+                self._table.incarnation(address),
+                min(count, DEMAND_MAX),
+                0,
+            )
+            for address, count in self._dispatcher.take_demand().items()
+        ]
+        return self._owner.ask(now, self._members.list_incarnations(now), demand)
 
     # Status probes.
 
--- a/acacialatch/dispatch.py
+++ b/acacialatch/dispatch.py
@@ -262,7 +262,8 @@
 
     def _limit(self, service: model.Service) -> int:
         return min(
-            self.shares.slot_limit(service), self.shares.connection_share(service)
+            self.shares.slot_limit(service.name),
+            self.shares.connection_share(service.name),
         )
 
     def _may_probe(self, now: float, address: str) -> bool:
@@ -278,7 +279,7 @@
 
     def _has_permits(self, now: float, address: str) -> bool:
         incarnation = self.table.incarnation(address)
-        held = self.shares.count_permits(now, address, incarnation)
+        held = self.shares.count_held(now, address, incarnation)
         return held >= self._needed_permits(address)
 
     def _take_permits(self, now: float, address: str) -> bool:
--- a/acacialatch/gateway.py
+++ b/acacialatch/gateway.py
@@ -93,7 +93,8 @@
     def _name_entries(self, request: httpserver.Request) -> httpserver.Response:
         fields = urllib.parse.parse_qs(request.query)
         zone = fields.get("zone", [""])[0]
-        return _respond(200, self._core.name_entries(trio.current_time(), zone))
+        named = self._core.name_entries(trio.current_time(), zone, request.peer)
+        return _respond(200, named)
 
     def _issue_key(self) -> httpserver.Response:
         issued = self._core.issue_key(trio.current_time())
--- a/acacialatch/httpserver.py
+++ b/acacialatch/httpserver.py
@@ -22,13 +22,26 @@
 
 
 class Request(typing.NamedTuple):
-    """A whole request of a caller."""
+    """A whole request of a caller.
+
+    Attributes
+    ----------
+    method, path, query : str
+        Parts of the request line.
+    headers : dict
+        Header fields, names in lower case.
+    body : bytes
+        Request body.
+    peer : str
+        IP address of the caller.
+    """
 
     method: str
     path: str
     query: str
     headers: dict[str, str]
     body: bytes
+    peer: str
 
 
 class Response(typing.NamedTuple):
@@ -122,6 +135,7 @@
         self._stream = stream
         self._http = h11.Connection(h11.SERVER, HEADER_BYTES_MAX)
         self._caller_gone = False
+        self._peer = str(stream.socket.getpeername()[0])
 
     async def run(self) -> None:
         while True:
@@ -168,7 +182,7 @@
                 if len(body) > BODY_BYTES_MAX:
                     raise _BodyTooLargeError
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return _make_request(head, bytes(body))
+                return _make_request(head, bytes(body), self._peer)
             else:
                 return None
 
@@ -225,13 +239,13 @@
             await self._stream.send_all(data)
 
 
-def _make_request(head: h11.Request, body: bytes) -> Request:
+def _make_request(head: h11.Request, body: bytes, peer: str) -> Request:
     target = head.target.decode("ascii", "replace")
     path, _, query = target.partition("?")
     headers = {
         name.decode("ascii"): value.decode("latin-1") for name, value in head.headers
     }
-    return Request(head.method.decode("ascii"), path, query, headers, body)
+    return Request(head.method.decode("ascii"), path, query, headers, body, peer)
 
 
 async def listen(address: str) -> trio.SocketListener:
--- a/acacialatch/membership.py
+++ b/acacialatch/membership.py
@@ -200,6 +200,14 @@
                 live.append(run.announcement)
         return live
 
+    def list_names(self) -> tuple[str, ...]:
+        """Return the names of all known entry instances, this one included."""
+        return tuple(sorted({self._own.name, *self._members}))
+
+    def list_incarnations(self, now: float) -> tuple[str, ...]:
+        """Return the incarnations of this instance and of those heard lately."""
+        return tuple(live.incarnation for live in self._list_live(now))
+
     def name_entries(
         self,
         now: float,
--- /dev/null
+++ b/acacialatch/ownership.py
@@ -0,0 +1,133 @@
+"""Leases and permits of one entry instance, as carried by digests."""
+
+import typing
+
+import msgspec
+
+from acacialatch import allotments, leases, messages, model, permits
+
+LIMIT_UNKNOWN = 1_000_000
+"""Most entry instances before a configuration tells; no majority is possible."""
+
+
+class Carried(typing.NamedTuple):
+    """Encoded fields of a digest."""
+
+    votes: bytes
+    permits: bytes
+
+
+NOTHING = Carried(b"", b"")
+
+
+class Ownership:
+    """Joins voter, candidate and allotments.
+
+    Parameters
+    ----------
+    now : float
+        Start of the process, in seconds.
+    incarnation : str
+        Incarnation of this entry instance.
+    seed : int
+        Seed of the delay between attempts to own a lease group.
+
+    Attributes
+    ----------
+    shares : allotments.Allotments
+        Shares and permits, used at each send.
+    malformed : int
+        Fields of digests that could not be decoded.
+    """
+
+    def __init__(self, now: float, incarnation: str, seed: int):
+        self._incarnation = incarnation
+        self._voter = leases.Voter(now, LIMIT_UNKNOWN)
+        self._candidate = leases.Candidate(now, incarnation, LIMIT_UNKNOWN, seed)
+        self.shares = allotments.Allotments(incarnation, self._candidate)
+        self.malformed = 0
+        self._has_news = False
+
+    def set_configuration(self, now: float, configuration: model.Configuration) -> None:
+        """Put a configuration in force."""
+        self._voter.set_limit(configuration.entry_instances_max)
+        self._candidate.set_limit(now, configuration.entry_instances_max)
+        self.shares.set_configuration(configuration)
+
+    def note_pause(self, now: float) -> None:
+        """Give up leases and permits that may have expired during a pause."""
+        self._voter.note_pause(now)
+        self._candidate.note_pause(now)
+        self.shares.note_pause(now)
+
+    def ask(
+        self,
+        now: float,
+        live: typing.Collection[str],
+        demand: typing.Iterable[permits.Demand],
+    ) -> Carried:
+        """Ask all voters and owners, this entry instance first.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds, from which leases and permits count.
+        live : collection of str
+            Incarnations of the entry instances that are believed to run.
+        demand : iterable of permits.Demand
+            Sends that wait for a permit.
+        """
+        ask = self._candidate.ask(now, live)
+        votes = self._voter.vote(now, self._incarnation, ask)
+        self._candidate.receive(now, self._incarnation, votes)
+        request = self.shares.request_permits(now, demand)
+        self._keep(now, self.shares.grant(now, self._incarnation, request))
+        return Carried(msgspec.msgpack.encode(ask), msgspec.msgpack.encode(request))
+
+    def answer(self, now: float, digest: messages.Digest) -> Carried:
+        """Answer what a peer asks for in its digest."""
+        votes = granted = b""
+        ask = self._decode(digest.votes_asked, leases.Ask)
+        if ask is not None:
+            given = self._voter.vote(now, digest.incarnation, ask)
+            votes = msgspec.msgpack.encode(given)
+        request = self._decode(digest.permits_asked, permits.Request)
+        if request is not None:
+            grants = self.shares.grant(now, digest.incarnation, request)
+            granted = msgspec.msgpack.encode(grants)
+        return Carried(votes, granted)
+
+    def receive(self, now: float, digest: messages.Digest) -> None:
+        """Take votes and permits from an answer."""
+        votes = self._decode(digest.votes_given, leases.Votes)
+        if votes is not None:
+            self._candidate.receive(now, digest.incarnation, votes)
+        grants = self._decode(digest.permits_given, permits.Grants)
+        if grants is not None:
+            self._keep(now, grants)
+
+    def take_news(self) -> bool:
+        """Return whether permits arrived since the last call."""
+        arrived, self._has_news = self._has_news, False
+        return arrived
+
+    def _keep(self, now: float, grants: permits.Grants) -> None:
+        if self.shares.receive(now, grants):
+            self._has_news = True
+
+    def release(self, now: float) -> Carried:
+        """Return the fields of the last digest, which give back all votes."""
+        return Carried(msgspec.msgpack.encode(self._candidate.release(now)), b"")
+
+    def list_owned(self, now: float) -> tuple[int, ...]:
+        """Return the lease groups that this entry instance owns."""
+        return self._candidate.list_owned(now)
+
+    def _decode(self, data: bytes, kind: type) -> typing.Any:
+        if not data:
+            return None
+        try:
+            return msgspec.msgpack.decode(data, type=kind)
+        except msgspec.MsgspecError:
+            self.malformed += 1
+            return None
--- a/acacialatch/queries.py
+++ b/acacialatch/queries.py
@@ -137,7 +137,7 @@
         """Start a query, or answer it with the reason for the refusal."""
         refusal = self._find_refusal(now)
         if refusal is not None:
-            return [_answer_failure(query, self._store.revision, refusal)]
+            return [answer_failure(query, self._store.revision, refusal)]
         self._unplanned[query.answer_id] = query
         heapq.heappush(self._timers, (query.deadline, query.answer_id))
         self._plan_query(now, query)
@@ -156,10 +156,10 @@
         failure = errors.Failure(errors.ErrorKind.SHUTTING_DOWN)
         revision = self._store.revision
         for query in list(self._unplanned.values()):
-            self._actions.append(_answer_failure(query, revision, failure))
+            self._actions.append(answer_failure(query, revision, failure))
         self._unplanned.clear()
         for active in list(self._active.values()):
-            self._actions.append(_answer_failure(active.query, revision, failure))
+            self._actions.append(answer_failure(active.query, revision, failure))
             active.finished = True
             self._close(now, active)
         return self._take_actions()
@@ -263,12 +263,13 @@
     def _open_record(self, active: _Active) -> records.RecordWriter:
         store = self._store
         header = records.Header(
-            query=active.query,
-            entry=self._dispatcher.identity.name,
+            answer_id=active.query.answer_id,
+            entry_instance=self._dispatcher.identity.caller_address,
             incarnation=self._dispatcher.identity.incarnation,
             revision=store.revision,
-            digest=store.digest,
-            members=self._list_members(),
+            configuration_sha256=store.digest,
+            membership=self._list_members(),
+            query=active.query,
             floor=active.floor,
             seed=active.seed,
             policy=type(self._policy).__name__,
@@ -281,7 +282,7 @@
             errors.ErrorKind.NO_COMMON_VERSION, "no index version is known yet"
         )
         revision = self._store.revision
-        self._actions.append(_answer_failure(query, revision, failure))
+        self._actions.append(answer_failure(query, revision, failure))
 
     # Decisions of scatter.
 
@@ -479,9 +480,10 @@
         return actions
 
 
-def _answer_failure(
+def answer_failure(
     query: model.Query, revision: int, failure: errors.Failure
 ) -> events.AnswerQuery:
+    """Return the answer to a query that was refused before it started."""
     outcome = attempts.Outcome(failure, (), (), (), 0, 0, ())
     return events.AnswerQuery(query.answer_id, revision, outcome)
 
--- a/acacialatch/submissions.py
+++ b/acacialatch/submissions.py
@@ -10,8 +10,8 @@
     errors,
     events,
     model,
-    requestdata,
     planner,
+    requestdata,
     requests,
 )
 
@@ -68,7 +68,9 @@
         request = requestdata.Request(
             arrived.call_id,
             arrived.idempotency_key,
-            requestdata.digest_body(arrived.service, arrived.key, arrived.body.encode()),
+            requestdata.digest_body(
+                arrived.service, arrived.key, arrived.body.encode()
+            ),
             arrived.deadline,
             arrived.hops > 0,
         )
@@ -219,7 +221,9 @@
             self._send_ids.pop(sent.request_id, None)
         return sent
 
-    def _make_view(self, now: float, arrived: events.RequestArrived) -> requestdata.View:
+    def _make_view(
+        self, now: float, arrived: events.RequestArrived
+    ) -> requestdata.View:
         if self._dispatcher.store.configuration is None:
             refusal = errors.ErrorKind.NO_CONFIGURATION
             return requestdata.View((), False, refusal)
