--- /dev/null
+++ b/acacialatch/allotments.py
@@ -0,0 +1,120 @@
+"""Shares of connections and slots, and the budget of cold servers."""
+
+import typing
+
+from acacialatch import leases, model, permits
+
+# Factor by which slots are shared out more than once. A server's own queue and
+# load shedding absorb the difference.
+SLOT_FACTOR = 2
+
+
+class Allotments:
+    """What this entry instance may use of each backend server.
+
+    Parameters
+    ----------
+    instance : str
+        Incarnation of this entry instance.
+    candidate : leases.Candidate
+        Knows which lease groups this entry instance owns.
+    """
+
+    def __init__(self, instance: str, candidate: leases.Candidate) -> None:
+        self._candidate = candidate
+        self._ledger = permits.Ledger(instance)
+        self._stock = permits.Stock()
+        self._limit = 1
+        self._services: dict[str, model.Service] = {}
+        self._shapes: dict[str, model.Shape] = {}
+
+    def set_configuration(self, configuration: model.Configuration) -> None:
+        """Put a configuration in force."""
+        self._limit = configuration.entry_instances_max
+        self._services = configuration.services
+        self._shapes = {
+            replica.address: service.shape
+            for service in configuration.services.values()
+            for replica in service.replicas
+        }
+
+    def connection_share(self, service: str) -> int:
+        """Return the most connections to each server of a leaf service."""
+        return self._services[service].shape.connections // self._limit
+
+    def slot_limit(self, service: str) -> int:
+        """Return the most requests in flight to each server of a leaf service."""
+        slots = self._services[service].shape.slots
+        return max(1, slots * SLOT_FACTOR // self._limit)
+
+    def request_permits(
+        self, now: float, demand: typing.Iterable[permits.Demand]
+    ) -> permits.Request:
+        """Return the request for all owners, this instance included.
+
+        Parameters
+        ----------
+        now : float
+            Time, in seconds. The life of the permits counts from it.
+        demand : iterable of permits.Demand
+            All sends that wait for a permit. Permits held are deducted.
+        """
+        return self._stock.request(now, demand)
+
+    def grant(
+        self, now: float, requester: str, request: permits.Request
+    ) -> permits.Grants:
+        """Answer a request with permits for servers of the groups owned.
+
+        Parameters
+        ----------
+        now : float
+            Time, in seconds.
+        requester : str
+            Incarnation of the entry instance that asks; may be this one.
+        request : permits.Request
+            Its request.
+        """
+        self._ledger.close(now, requester, request.spent, request.returned)
+        granted: list[permits.Permit] = []
+        for demand in request.demands[: permits.DEMANDS_MAX]:
+            shape = self._shapes.get(demand.address)
+            if shape is None or not self._may_grant(now, demand.address, shape):
+                continue
+            self._ledger.want(now, requester, demand)
+            granted += self._ledger.grant(
+                now, requester, demand, shape.cold_requests, shape.cold_window_s
+            )
+        return permits.Grants(request.serial, tuple(granted))
+
+    def receive(self, now: float, grants: permits.Grants) -> int:
+        """Keep the permits of an owner; return how many are valid."""
+        return self._stock.receive(now, grants)
+
+    def take(self, now: float, address: str, incarnation: str) -> bool:
+        """Spend a permit at the time of a send; return whether there was one.
+
+        Parameters
+        ----------
+        now : float
+            Time of the send, in seconds.
+        address : str
+            Address of the backend server.
+        incarnation : str
+            Its incarnation as known now, or `""` if unknown.
+        """
+        return self._stock.take(now, address, incarnation)
+
+    def count_held(self, now: float, address: str, incarnation: str) -> int:
+        """Return the number of valid permits for a server."""
+        return self._stock.count(now, address, incarnation)
+
+    def note_pause(self, now: float) -> None:
+        """Void all permits held, since they may have expired unnoticed."""
+        self._stock.void()
+
+    def _may_grant(self, now: float, address: str, shape: model.Shape) -> bool:
+        """Return whether the permits of any former owner are spent."""
+        group = leases.group_of(address)
+        wait_s = (leases.TERM_S + shape.cold_window_s) / (1 - leases.CLOCK_RATE_MARGIN)
+        return self._candidate.held_for(now, group) >= wait_s
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,246 @@
+"""Fake fleet of entry instances for the tests of leases and allotments.
+
+Time is true time. Each process has a clock with its own offset and rate. Links
+lose, delay and reorder messages. Paused processes handle their messages late.
+"""
+
+import heapq
+import random
+
+from acacialatch import allotments, leases, model, permits
+
+SERVERS = ("127.0.0.1:7001", "127.0.0.1:7002")
+SHAPE = model.Shape(3, 30, 0.006, 2, 1.0, 1.0, 8)
+DIGEST_S = 0.5
+TICK_S = 0.1
+PAUSE_DETECTED_S = 1.0
+# Time in which a configuration is in force everywhere (invariant 10), in seconds.
+SPREAD_S = 3.0
+
+
+def make_configuration(limit, shape=SHAPE, addresses=SERVERS):
+    """Return a configuration with one leaf service."""
+    replicas = tuple(model.Replica(address, "Ba") for address in addresses)
+    keys = model.KeyRange(0, 10)
+    leaf = model.Service("desk", (), "bookings", keys, shape, replicas)
+    return model.Configuration(
+        "Fiji", limit, ("Ba",), frozenset(), {}, {}, {"desk": leaf}
+    )
+
+
+class ListCandidate(leases.Candidate):
+    """Naive version: the owner is the first one of the own live list."""
+
+    live = ()
+
+    def ask(self, now, live):
+        self.live = tuple(sorted({*live, self._instance}))
+        return super().ask(now, live)
+
+    def holds(self, now, group):
+        preferred = leases.prefer_candidates(self.live) if self.live else ()
+        return bool(preferred) and preferred[group] == self._instance
+
+    def held_for(self, now, group):
+        return 1e9 if self.holds(now, group) else 0.0
+
+
+class ShareAllotments(allotments.Allotments):
+    """Naive version: a static share of the cold budget, rounded up to 1."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.sends = {address: [] for address in SERVERS}
+
+    def take(self, now, address, incarnation):
+        share = max(1, SHAPE.cold_requests // self._limit)
+        recent = [at for at in self.sends[address] if now - at < SHAPE.cold_window_s]
+        self.sends[address] = recent
+        if len(recent) < share:
+            recent.append(now)
+            return True
+        return False
+
+
+class Process:
+    """One entry instance with its own clock."""
+
+    def __init__(self, fleet, name, rate, offset):
+        self.fleet, self.name, self.rate, self.offset = fleet, name, rate, offset
+        self.is_running, self.paused_at, self.late = True, None, []
+        self.live, self.limit = None, fleet.limit
+        now = self.now()
+        self.voter = leases.Voter(now, self.limit)
+        self.candidate = fleet.candidate_class(now, name, self.limit, fleet.serial)
+        self.allotments = fleet.allotments_class(name, self.candidate)
+        self.allotments.set_configuration(make_configuration(self.limit))
+
+    def now(self):
+        """Return the time of the own clock."""
+        return self.offset + self.rate * self.fleet.time
+
+    def adopt(self, limit):
+        """Put a number of entry instances in force."""
+        self.limit = limit
+        self.voter.set_limit(limit)
+        self.candidate.set_limit(self.now(), limit)
+        self.allotments.set_configuration(make_configuration(limit))
+
+    def digest(self):
+        """Ask all others for votes and permits."""
+        now = self.now()
+        names = [other.name for other in self.fleet.processes]
+        live = names if self.live is None else self.live
+        ask = self.candidate.ask(now, live)
+        demand = [permits.Demand(address, "", 2, 0) for address in SERVERS]
+        request = self.allotments.request_permits(now, demand)
+        for other in self.fleet.processes:
+            self.fleet.send(self, other, "answer", ask, request)
+
+    def answer(self, sender, ask, request):
+        """Answer the digest of another process, or the own one."""
+        now = self.now()
+        votes = self.voter.vote(now, sender.name, ask)
+        grants = self.allotments.grant(now, sender.name, request)
+        self.fleet.send(self, sender, "receive", votes, grants)
+
+    def receive(self, sender, votes, grants):
+        """Handle an answer."""
+        self.candidate.receive(self.now(), sender.name, votes)
+        self.allotments.receive(self.now(), grants)
+
+    def spend(self):
+        """Send to the cold servers as often as the permits allow."""
+        for address in SERVERS:
+            while self.allotments.take(self.now(), address, ""):
+                self.fleet.note_send(address)
+
+    def resume(self):
+        """Go on after a pause and handle what came meanwhile."""
+        gap_s = (self.fleet.time - self.paused_at) * self.rate
+        self.paused_at = None
+        if gap_s > PAUSE_DETECTED_S:
+            self.voter.note_pause(self.now())
+            self.candidate.note_pause(self.now())
+            self.allotments.note_pause(self.now())
+        late, self.late = self.late, []
+        for method, arguments in late:
+            getattr(self, method)(*arguments)
+
+
+class Fleet:
+    """Processes, links and true time."""
+
+    def __init__(
+        self,
+        count,
+        limit,
+        seed=0,
+        candidate_class=leases.Candidate,
+        allotments_class=allotments.Allotments,
+    ):
+        self.candidate_class = candidate_class
+        self.allotments_class = allotments_class
+        self.random = random.Random(seed)
+        self.time, self.serial, self.limit = 0.0, 0, limit
+        self.loss, self.delay_s, self.sides = 0.0, 0.005, {}
+        self.events, self.processes = [], []
+        self.sends = {address: [] for address in SERVERS}
+        self.owners = {}
+        for _ in range(count):
+            self.start()
+
+    def at(self, time, function, *arguments):
+        """Call a function at a true time."""
+        self.serial += 1
+        heapq.heappush(self.events, (time, self.serial, function, arguments))
+
+    def start(self):
+        """Start a process with an unequal clock."""
+        self.serial += 1
+        rate = self.random.choice((0.95, 1.0, 1.05))
+        offset = self.random.uniform(0, 1000)
+        process = Process(self, f"{self.serial:032x}", rate, offset)
+        self.processes.append(process)
+        self.at(self.time + self.random.uniform(0, DIGEST_S), self.run_digest, process)
+        self.at(self.time + self.random.uniform(0, TICK_S), self.run_tick, process)
+        return process
+
+    def stop(self, process):
+        """End a process without notice."""
+        process.is_running = False
+        self.processes.remove(process)
+
+    def set_limit(self, limit):
+        """Accept a configuration; it is in force everywhere after 3 s."""
+        self.limit = limit
+        for process in self.processes:
+            at = self.time + self.random.uniform(0, SPREAD_S)
+            self.at(at, self.run_adopt, process, limit)
+
+    def run_adopt(self, process, limit):
+        """Put the configuration in force unless a later one was accepted."""
+        if limit == self.limit:
+            process.adopt(limit)
+
+    def run_digest(self, process):
+        """Send a digest and plan the next one."""
+        if process.is_running:
+            if process.paused_at is None:
+                process.digest()
+            self.at(self.time + DIGEST_S / process.rate, self.run_digest, process)
+
+    def run_tick(self, process):
+        """Spend permits and plan the next time."""
+        if process.is_running:
+            if process.paused_at is None:
+                process.spend()
+            self.at(self.time + TICK_S, self.run_tick, process)
+
+    def send(self, sender, receiver, method, *contents):
+        """Send a message over a link that may lose or delay it."""
+        sides = self.sides.get(sender.name), self.sides.get(receiver.name)
+        is_lost = sides[0] != sides[1] or self.random.random() < self.loss
+        if sender is receiver:
+            getattr(receiver, method)(sender, *contents)
+        elif not is_lost:
+            at = self.time + self.random.uniform(0.001, self.delay_s)
+            self.at(at, self.deliver, receiver, method, (sender, *contents))
+
+    def deliver(self, receiver, method, arguments):
+        """Deliver a message, or keep it while the receiver is paused."""
+        if receiver.paused_at is not None:
+            receiver.late.append((method, arguments))
+        elif receiver.is_running:
+            getattr(receiver, method)(*arguments)
+
+    def note_send(self, address):
+        """Record a send and check the budget in every window that ends now."""
+        sends = self.sends[address]
+        sends.append(self.time)
+        first = len(sends) - 1 - SHAPE.cold_requests
+        if first >= 0:
+            gap_s = self.time - sends[first]
+            assert gap_s >= SHAPE.cold_window_s, f"{address} over budget at {self.time}"
+
+    def check_owners(self):
+        """Check that no group has two owners now."""
+        for group in {leases.group_of(address) for address in SERVERS} | {0, 1}:
+            holders = [
+                process.name
+                for process in self.processes
+                if process.candidate.holds(process.now(), group)
+            ]
+            assert len(holders) <= 1, f"group {group} has two owners at {self.time}"
+            self.owners[group] = holders[0] if holders else None
+
+    def advance(self, duration_s):
+        """Run all events of a time span."""
+        end = self.time + duration_s
+        while self.events and self.events[0][0] <= end:
+            self.time, _, function, arguments = heapq.heappop(self.events)
+            function(*arguments)
+            if function != self.run_tick:
+                self.check_owners()
+        self.time = end
+        self.check_owners()
