--- /dev/null
+++ b/acacialatch/cli.py
@@ -0,0 +1,118 @@
+"""Command line: serve, check, replay and version."""
+
+import os
+import pathlib
+import sys
+
+import fire
+import result
+import trio
+
+import acacialatch
+from acacialatch import configuration, daemon, outputs, records, replay, settings
+
+EXIT_REFUSED = 1
+
+
+class Commands:
+    """Query tier over many shards."""
+
+    def serve(self, settings: str) -> None:
+        """Run an entry instance until a signal ends it.
+
+        Parameters
+        ----------
+        settings : str
+            Path of the settings file.
+        """
+        _serve(settings)
+
+    def check(self, file: str) -> None:
+        """Check a settings file or a configuration text.
+
+        Every problem is printed with file, key, value and what is allowed. The exit
+        status is 0 only if there is none.
+
+        Parameters
+        ----------
+        file : str
+            Path of the file.
+        """
+        _check(file)
+
+    def replay(self, file: str) -> None:
+        """Replay an explanation record and compare the decisions.
+
+        The exit status is 0 only if the record is unchanged and the core decides
+        the same again.
+
+        Parameters
+        ----------
+        file : str
+            Path of a file with one record, as written to the log.
+        """
+        _replay(file)
+
+    def version(self) -> None:
+        """Print the version."""
+        print(acacialatch.__version__)
+
+
+def main() -> None:
+    """Run the command line."""
+    # Without this, fire starts a pager, and a process starts no other process.
+    os.environ["PAGER"] = "-"
+    fire.Fire(Commands(), name="acacialatch")
+
+
+def _serve(path: str) -> None:
+    parsed = settings.parse(_read(path), path)
+    if isinstance(parsed, result.Err):
+        _refuse(parsed.err_value)
+    chosen = parsed.unwrap()
+    try:
+        trio.run(_run_daemon, chosen)
+    except* OSError as group:
+        sys.exit(f"daemon: {group.exceptions[0]}")
+
+
+async def _run_daemon(chosen: settings.Settings) -> None:
+    with outputs.open_outputs(chosen) as output:
+        await daemon.Daemon(chosen, output).run()
+
+
+def _check(path: str) -> None:
+    text = _read(path)
+    if settings.is_settings(text):
+        parsed: result.Result = settings.parse(text, path)
+        kind = "settings"
+    else:
+        parsed = configuration.parse(text, path)
+        kind = "configuration"
+    if isinstance(parsed, result.Err):
+        _refuse(parsed.err_value)
+    print(f"{path}: {kind} is valid")
+
+
+def _replay(path: str) -> None:
+    read = records.read(_read(path))
+    if isinstance(read, result.Err):
+        problem = read.err_value
+        sys.exit(f"{path}: line {problem.line}, {problem.field}: {problem.text}")
+    comparison = replay.replay(read.unwrap())
+    print("\n".join(comparison.text))
+    if not comparison.is_same:
+        sys.exit(f"{path}: {comparison.difference}")
+
+
+def _read(path: str) -> bytes:
+    try:
+        return pathlib.Path(path).read_bytes()
+    except OSError as error:
+        sys.exit(f"{path}: {error.strerror}")
+
+
+def _refuse(problems: tuple[object, ...]) -> None:
+    for problem in problems:
+        print(problem, file=sys.stderr)
+    sys.exit(EXIT_REFUSED)
--- a/acacialatch/control.py
+++ b/acacialatch/control.py
@@ -18,6 +18,9 @@
     revisions,
 )
 
+TICK_S = 0.1
+"""Time between two ticks in seconds; shorter than `revisions.LOOP_GAP_S`."""
+
 DIGEST_PERIOD_S = 0.5
 
 DEMAND_DELAY_S = 0.2
@@ -119,7 +122,7 @@
             self._owner.note_pause(now)
             self._next_read = self._next_digest = now
             actions += _note_revision_change(change)
-        self._dispatcher.peers_known = self._members.knows_peers()
+        self._dispatcher.peers_known = self._members.knows_peers(now)
         actions += self._note_currency(now)
         actions += self._read_service(now)
         actions += self._list_instances(now)
@@ -185,6 +188,7 @@
         ]
         changes = self._table.set_configuration(now, configuration)
         self._owner.set_configuration(now, configuration)
+        self._dispatcher.set_configuration(configuration)
         # Peers learn of a change at once and not at the next period.
         self._next_digest = now
         return dispatch.note_changes(changes)
@@ -298,7 +302,7 @@
             digest.uptime_s,
         )
         actions = _note_member_changes(self._members.hear(now, announcement))
-        self._dispatcher.peers_known = self._members.knows_peers()
+        self._dispatcher.peers_known = self._members.knows_peers(now)
         heard_at = now if asked_at == float("-inf") else asked_at
         self._store.merge_service_age(heard_at, digest.service_age_s)
         actions += self._compare_revision(now, digest, asked_at)
@@ -434,19 +438,28 @@
 
     def _list_due(self, now: float, service: model.Service) -> list[str]:
         addresses = [replica.address for replica in service.replicas]
-        due = [
-            address for address in addresses if self._table.is_probe_due(now, address)
-        ]
+        due = [address for address in addresses if self._is_due(now, address)]
         heard = [self._table.last_heard(address) for address in addresses]
         latest = max((time for time in heard if time is not None), default=None)
         if due or (latest is not None and now - latest < STALE_NEWS_S):
             return due
-        listed = [
+        ready = [
             address
             for address in addresses
-            if self._table.state(now, address) is not model.ServerState.UNLISTED
+            if self._table.state(now, address) is model.ServerState.READY
         ]
-        return [self._random.choice(listed)] if listed else []
+        return [self._random.choice(ready)] if ready else []
+
+    def _is_due(self, now: float, address: str) -> bool:
+        """Return whether a status probe would tell something.
+
+        Only answered requests warm a server, so a probe of a cold server would
+        waste its budget, unless nothing is known of the server yet.
+        """
+        if self._table.state(now, address) is model.ServerState.COLD:
+            if self._table.incarnation(address):
+                return False
+        return self._table.is_probe_due(now, address)
 
     def _probe(
         self, now: float, service: model.Service, address: str
--- /dev/null
+++ b/acacialatch/daemon.py
@@ -0,0 +1,149 @@
+"""Runs one entry instance: sockets, timers and signals around the engine."""
+
+import random
+import secrets
+import signal
+
+import trio
+
+from acacialatch import (
+    engine,
+    errors,
+    events,
+    gateway,
+    httpclient,
+    httpserver,
+    outputs,
+    peers,
+    runner,
+    settings,
+    sources,
+    wire,
+)
+
+STOP_MARGIN_S = 1.0
+"""Serving goes on for the address lifetime plus this margin after a stop signal."""
+
+DRAIN_MAX_S = 40.0
+"""Longest wait for callers' connections; above the largest deadline, 30 s."""
+
+FLUSH_S = 0.5
+"""Time to send the last answers after a second signal, in seconds."""
+
+
+class Daemon:
+    """One entry instance.
+
+    Parameters
+    ----------
+    chosen : settings.Settings
+        Checked settings.
+    output : outputs.Output
+        Log, audit trail, metrics and explanation records.
+    """
+
+    def __init__(self, chosen: settings.Settings, output: outputs.Output):
+        self._settings = chosen
+        self._output = output
+        identity = engine.Identity(
+            chosen.name,
+            chosen.zone,
+            chosen.caller_address,
+            chosen.peer_address,
+            secrets.token_bytes(16),
+            secrets.token_bytes(32),
+            chosen.peers,
+        )
+        self._engine = engine.Engine(
+            trio.current_time(), identity, secrets.randbits(32)
+        )
+        chance = random.Random(secrets.randbits(64))
+        interfaces = runner.Interfaces(
+            httpclient.PooledClient(self._engine.connection_share),
+            sources.HttpConfigurationSource(chosen.configuration_service),
+            sources.HttpInstanceSource(chosen.instance_list),
+            lambda address: peers.PeerClient(address, chance),
+            output,
+        )
+        self._runner = runner.Runner(self._engine, interfaces)
+        self._server = httpserver.Server(
+            self._runner.gateway.handle, _refuse, self._report_error
+        )
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until a signal ends the process.
+
+        Raises
+        ------
+        OSError
+            An address of the settings cannot be used.
+        """
+        async with wire.open_loop(self._report_text), trio.open_nursery() as nursery:
+            listener = await httpserver.listen(self._settings.caller_address)
+            server = peers.PeerServer(self._runner)
+            await nursery.start(server.serve, self._settings.peer_address)
+            nursery.start_soon(self._output.run)
+            await nursery.start(self._runner.run)
+            accepting = trio.CancelScope()
+            nursery.start_soon(self._accept, listener, accepting, nursery)
+            text = f"{self._settings.name} serves {self._settings.caller_address}"
+            self._output.log("daemon:", text)
+            task_status.started()
+            await self._wait_for_signals(accepting)
+            self._output.log("daemon:", "stopped")
+            await self._output.flush()
+            nursery.cancel_scope.cancel()
+
+    # Signals and shutdown.
+
+    async def _wait_for_signals(self, accepting: trio.CancelScope) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+            await received.__anext__()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._drain, accepting, nursery.cancel_scope)
+                await received.__anext__()
+                self._output.log("daemon:", "second signal, stopping at once")
+                await self._stop_at_once()
+                nursery.cancel_scope.cancel()
+
+    async def _drain(self, accepting: trio.CancelScope, done: trio.CancelScope) -> None:
+        """Serve for the address lifetime, then until callers' connections close."""
+        self._runner.submit(events.StopAsked())
+        await trio.sleep(self._engine.entry_lifetime_s() + STOP_MARGIN_S)
+        self._engine.refuse_new_work()
+        self._server.announce_close()
+        accepting.cancel()
+        with trio.move_on_after(DRAIN_MAX_S):
+            while self._server.connections:
+                await trio.sleep(0.05)
+        done.cancel()
+
+    async def _stop_at_once(self) -> None:
+        self._engine.refuse_new_work()
+        self._server.announce_close()
+        self._runner.perform(self._engine.stop(trio.current_time()))
+        await trio.sleep(FLUSH_S)
+
+    async def _accept(
+        self,
+        listener: trio.SocketListener,
+        scope: trio.CancelScope,
+        nursery: trio.Nursery,
+    ) -> None:
+        with scope:
+            await httpserver.serve_listener(self._server, listener, nursery)
+        await listener.aclose()
+
+    # Errors.
+
+    def _report_error(self, error: Exception) -> None:
+        self._report_text(f"request failed: {error!r}")
+
+    def _report_text(self, text: str) -> None:
+        self._output.log("daemon:", text)
+
+
+def _refuse(kind: str) -> httpserver.Response:
+    return gateway.refuse(errors.ErrorKind(kind))
--- a/acacialatch/dispatch.py
+++ b/acacialatch/dispatch.py
@@ -103,6 +103,7 @@
         self.shares = shares
         self.peers_known = False
         self.demand: collections.Counter[str] = collections.Counter()
+        self._services: dict[str, model.Service] = {}
         self._idle: dict[str, int] = {}
         self._sent: dict[int, Sent] = {}
         self._numbers = itertools.count(1)
@@ -122,7 +123,7 @@
         address = replica.address
         reason = self.find_obstacle(now, service, address)
         if reason == _COLD_BUDGET:
-            self.demand[address] += 1
+            self.demand[address] += self._needed_permits(address)
         return routing.Candidate(
             address,
             replica.zone,
@@ -183,7 +184,7 @@
         if self.table.needs_permit(now, address) and not self._take_permits(
             now, address
         ):
-            self.demand[address] += 1
+            self.demand[address] += self._needed_permits(address)
             return None
         self.table.observe_send(now, address)
         if self._idle.get(address, 0) > 0:
@@ -255,8 +256,21 @@
         sent = self._sent.get(send_id)
         return None if sent is None else sent.started
 
+    def set_configuration(self, configuration: model.Configuration) -> None:
+        """Put a configuration in force."""
+        self._services = {
+            replica.address: service
+            for service in configuration.services.values()
+            for replica in service.replicas
+        }
+
+    def connection_share(self, address: str) -> int:
+        """Return the most connections to a server; 0 for one that is not listed."""
+        service = self._services.get(address)
+        return 0 if service is None else self.shares.connection_share(service.name)
+
     def take_demand(self) -> dict[str, int]:
-        """Return and reset the number of sends that lacked a permit, by server."""
+        """Return and reset the number of permits that sends lacked, by server."""
         demand, self.demand = dict(self.demand), collections.Counter()
         return demand
 
--- a/acacialatch/engine.py
+++ b/acacialatch/engine.py
@@ -133,6 +133,15 @@
         """Text of the configuration in force, to be handed to peers."""
         return self._store.text
 
+    def connection_share(self, address: str) -> int:
+        """Return the most connections of this entry instance to a server."""
+        return self._dispatcher.connection_share(address)
+
+    def entry_lifetime_s(self) -> float:
+        """Return how long callers may keep addresses, in seconds."""
+        configuration = self._store.configuration
+        return configuration.policy.entry_lifetime_s if configuration else 0.0
+
     def next_timer(self) -> float:
         """Return the time at which `LoopTicked` must be handled, in seconds."""
         return min(
--- a/acacialatch/queries.py
+++ b/acacialatch/queries.py
@@ -196,17 +196,20 @@
             if active is not None and active.wake_at <= now:
                 self._feed(now, active, attempts.Timer())
         if now >= self._next_look:
-            self.look_again(now)
+            self._look_again(now)
         return self._take_actions()
 
     def look_again(self, now: float) -> list[events.Action]:
         """Plan waiting queries and offer replicas to waiting parts."""
+        self._look_again(now)
+        return self._take_actions()
+
+    def _look_again(self, now: float) -> None:
         self._next_look = float("inf")
         for query in list(self._unplanned.values()):
             self._plan_query(now, query)
         for service in list(self._queues):
             self._grant(now, service)
-        return self._take_actions()
 
     # Planning.
 
--- /dev/null
+++ b/acacialatch/runner.py
@@ -0,0 +1,325 @@
+"""Carries out the actions of the engine over exchangeable interfaces."""
+
+import typing
+
+import result
+import trio
+
+from acacialatch import (
+    bodies,
+    engine,
+    errors,
+    events,
+    gateway,
+    httpclient,
+    messages,
+    outputs,
+    peers,
+    requestdata,
+    revisions,
+    sources,
+)
+
+TIMER_GRAIN_S = 0.001
+"""Shortest time between two timers of the engine, in seconds."""
+
+
+class Interfaces(typing.NamedTuple):
+    """What an entry instance talks to.
+
+    Attributes
+    ----------
+    client : httpclient.ServerClient
+        Backend servers.
+    source : sources.ConfigurationSource
+        Configuration service.
+    instances : sources.InstanceSource
+        The platform's list of instances.
+    link : callable
+        Returns the link to the peer with a given address.
+    output : outputs.Output
+        Log, audit trail, metrics and explanation records.
+    """
+
+    client: httpclient.ServerClient
+    source: sources.ConfigurationSource
+    instances: sources.InstanceSource
+    link: typing.Callable[[str], peers.PeerLink]
+    output: outputs.Output
+
+
+class Runner(peers.PeerHandlers):
+    """Runs an engine: timers, exchanges and calls of peers.
+
+    Parameters
+    ----------
+    core : engine.Engine
+        The engine.
+    interfaces : Interfaces
+        What it talks to.
+    """
+
+    def __init__(self, core: engine.Engine, interfaces: Interfaces):
+        self._engine = core
+        self._client = interfaces.client
+        self._source = interfaces.source
+        self._instances = interfaces.instances
+        self._make_link = interfaces.link
+        self._output = interfaces.output
+        self.gateway = gateway.Gateway(core, self.submit)
+        self._links: dict[str, peers.PeerLink] = {}
+        self._scopes: dict[int, trio.CancelScope] = {}
+        self._digests: dict[str, messages.Digest] = {}
+        self._wake = trio.Event()
+        self._armed = float("inf")
+        self._nursery: trio.Nursery | None = None
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            await self._run_timers()
+
+    def submit(self, event: events.Event) -> None:
+        """Feed an event to the engine and carry out its actions."""
+        self.perform(self._engine.handle(trio.current_time(), event))
+
+    # Timers and actions.
+
+    async def _run_timers(self) -> None:
+        while True:
+            now = trio.current_time()
+            self._armed = max(self._engine.next_timer(), now + TIMER_GRAIN_S)
+            self._wake = trio.Event()
+            with trio.move_on_at(self._armed):
+                await self._wake.wait()
+            if trio.current_time() >= self._engine.next_timer():
+                self.submit(events.LoopTicked())
+
+    def perform(self, actions: typing.Iterable[events.Action]) -> None:
+        """Carry out actions of the engine."""
+        for action in actions:
+            self._perform_one(action)
+        if self._engine.next_timer() < self._armed:
+            self._wake.set()
+
+    def _perform_one(self, action: events.Action) -> None:
+        match action:
+            case events.SendToServer():
+                scope = self._scopes[action.send_id] = trio.CancelScope()
+                self._start(self._exchange, action, scope)
+            case events.CancelSend():
+                scope = self._scopes.pop(action.send_id, None)
+                if scope is not None:
+                    scope.cancel()
+            case events.AnswerQuery() | events.AnswerRequest():
+                self.gateway.deliver(action)
+            case events.ForwardToPeer():
+                self._start(self._forward, action)
+            case events.ExchangeDigest():
+                self._start(self._exchange_digest, action)
+            case events.AnswerDigest():
+                self._digests[action.call_id] = action.digest
+            case events.FetchConfiguration():
+                self._start(self._fetch_configuration, action)
+            case events.ReadService():
+                self._start(self._read_service, action)
+            case events.ListInstances():
+                self._start(self._list_instances)
+            case _:
+                self._output.write(trio.current_time(), action)
+
+    def _start(self, task: typing.Callable[..., typing.Any], *args: object) -> None:
+        assert self._nursery is not None
+        self._nursery.start_soon(task, *args)
+
+    # Backend servers.
+
+    async def _exchange(
+        self, send: events.SendToServer, scope: trio.CancelScope
+    ) -> None:
+        call = httpclient.Call(
+            send.address,
+            send.method,
+            send.path,
+            send.headers,
+            send.body,
+            send.timeout_s,
+            send.needs_proved,
+        )
+
+        def ask(proved_at: float) -> bool:
+            now = trio.current_time()
+            allowed, actions = self._engine.allow_first_byte(
+                now, send.send_id, proved_at
+            )
+            self.perform(actions)
+            return allowed
+
+        outcome: httpclient.Reply | httpclient.Failed | None = None
+        with scope:
+            outcome = await self._client.exchange(
+                call, ask if send.needs_proved else None
+            )
+        idle = self._client.count_idle(send.address)
+        self.submit(events.PoolChanged(send.address, idle))
+        if outcome is None or self._scopes.pop(send.send_id, None) is None:
+            return
+        self.submit(_describe_outcome(send.send_id, outcome))
+
+    # Platform.
+
+    async def _read_service(self, action: events.ReadService) -> None:
+        asked_at = trio.current_time()
+        read = await self._source.read(action.after, action.wait_s)
+        if isinstance(read, result.Err):
+            self.submit(events.ServiceFailed(str(read.err_value)))
+        elif read.ok_value is None:
+            self.submit(events.ServiceAnswered(asked_at))
+        else:
+            text = read.ok_value
+            self.submit(
+                events.ConfigurationRead(
+                    text.revision, text.text, revisions.SERVICE, asked_at
+                )
+            )
+
+    async def _list_instances(self) -> None:
+        listed = await self._instances.list()
+        if isinstance(listed, result.Err):
+            self.submit(events.ListFailed(str(listed.err_value)))
+        else:
+            self.submit(events.InstancesListed(listed.ok_value))
+
+    # Peers.
+
+    def _find_link(self, address: str) -> peers.PeerLink:
+        link = self._links.get(address)
+        if link is None:
+            link = self._links[address] = self._make_link(address)
+        return link
+
+    async def _exchange_digest(self, action: events.ExchangeDigest) -> None:
+        sent_at = trio.current_time()
+        address = action.peer_address
+        answered = await self._find_link(address).exchange(action.digest)
+        if isinstance(answered, result.Err):
+            self.submit(events.PeerFailed(address, answered.err_value.detail))
+        else:
+            self.submit(events.DigestAnswered(address, answered.ok_value, sent_at))
+
+    async def _fetch_configuration(self, action: events.FetchConfiguration) -> None:
+        asked_at = trio.current_time()
+        mark = self._engine.mark
+        request = messages.ConfigurationRequest(
+            revision=mark.revision if mark else 0, digest=mark.sha256 if mark else ""
+        )
+        link = self._find_link(action.peer_address)
+        fetched = await link.fetch_configuration(request)
+        if isinstance(fetched, result.Err):
+            detail = fetched.err_value.detail
+            self.submit(events.PeerFailed(action.peer_address, detail))
+            return
+        text = fetched.ok_value.configuration
+        if text is not None:
+            self.submit(
+                events.ConfigurationRead(
+                    text.revision,
+                    text.text,
+                    revisions.name_peer(action.name),
+                    asked_at,
+                    False,
+                )
+            )
+
+    async def _forward(self, action: events.ForwardToPeer) -> None:
+        arrived = action.request
+        request = messages.ForwardRequest(
+            key=arrived.idempotency_key,
+            service=arrived.service,
+            body=arrived.body.encode(),
+            deadline_s=action.timeout_s,
+            request_key=arrived.key,
+            hops=arrived.hops + 1,
+        )
+        answered = await self._find_link(action.peer_address).forward(request)
+        if isinstance(answered, result.Err):
+            left = answered.err_value.kind is not errors.LinkErrorKind.NOT_SENT
+            self.submit(events.ForwardFailed(action.call_id, left))
+            return
+        outcome = _read_forward_reply(answered.ok_value)
+        self.submit(
+            events.ForwardAnswered(action.call_id, arrived.idempotency_key, outcome)
+        )
+
+    async def exchange(self, digest: messages.Digest) -> messages.Digest:
+        """Take the digest of a peer and return the own one."""
+        call_id = self.gateway.make_id()
+        self.submit(events.DigestAsked(call_id, digest))
+        return self._digests.pop(call_id)
+
+    async def fetch_configuration(
+        self, request: messages.ConfigurationRequest
+    ) -> messages.ConfigurationReply:
+        """Return the configuration in force if it is newer than the peer's."""
+        mark, text = self._engine.mark, self._engine.text
+        asked = (request.revision, request.digest)
+        if mark is None or text is None or tuple(mark) <= asked:
+            return messages.ConfigurationReply(configuration=None)
+        newer = messages.ConfigurationText(revision=mark.revision, text=text)
+        return messages.ConfigurationReply(configuration=newer)
+
+    async def forward(self, request: messages.ForwardRequest) -> messages.ForwardReply:
+        """Run a non-idempotent request that a peer forwarded."""
+        arrived = events.RequestArrived(
+            self.gateway.make_id(),
+            request.key,
+            request.service,
+            request.request_key or 0,
+            request.body.decode("utf-8", "replace"),
+            trio.current_time() + request.deadline_s,
+            request.hops,
+        )
+        answer = await self.gateway.run_request(arrived)
+        if isinstance(answer.outcome, errors.Failure):
+            failure = answer.outcome
+            return messages.ForwardReply(
+                kind=failure.kind.value,
+                status=errors.ANSWERS[failure.kind].status,
+                body=failure.detail.encode(),
+            )
+        return messages.ForwardReply(
+            kind="", status=answer.outcome.status, body=answer.outcome.body
+        )
+
+
+def _describe_outcome(
+    send_id: int, outcome: httpclient.Reply | httpclient.Failed
+) -> events.Event:
+    if isinstance(outcome, httpclient.Failed):
+        return events.SendFailed(
+            send_id, outcome.cause, outcome.bytes_sent, outcome.is_new_connection
+        )
+    return events.ServerReplied(
+        send_id,
+        outcome.status,
+        bodies.read_news(outcome.headers),
+        outcome.headers,
+        outcome.body,
+        outcome.latency_s,
+        outcome.is_new_connection,
+    )
+
+
+def _read_forward_reply(reply: messages.ForwardReply) -> requestdata.Outcome:
+    if not reply.kind:
+        return requestdata.Reply("", reply.status, reply.body)
+    try:
+        kind = errors.ErrorKind(reply.kind)
+    except ValueError:
+        # A newer release may know more kinds; nothing is known of the outcome.
+        return requestdata.unknown(f"the issuer answered {reply.kind!r}")
+    return errors.Failure(kind, reply.body.decode("utf-8", "replace"))
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements in virtual time against a naive version."""
