Warm cold replicas with the permits held, add comparison with a naive version

A replica that turned cold stayed cold while the other one of its service was ready: LeastLoaded never chose it, as its assumed latency is above the measured one of the other. 205 of 738 hedges then found no second replica. A cold replica with a permit now comes first.

--- a/acacialatch/control.py
+++ b/acacialatch/control.py
@@ -456,9 +456,9 @@
         Only answered requests warm a server, so a probe of a cold server would
         waste its budget, unless nothing is known of the server yet.
         """
-        if self._table.state(now, address) is model.ServerState.COLD:
-            if self._table.incarnation(address):
-                return False
+        is_cold = self._table.state(now, address) is model.ServerState.COLD
+        if is_cold and self._table.incarnation(address):
+            return False
         return self._table.is_probe_due(now, address)
 
     def _probe(
--- a/acacialatch/messages.py
+++ b/acacialatch/messages.py
@@ -61,10 +61,10 @@
     caller_address: _Name
     peer_address: _Name
     leaving: bool
-    uptime_s: _Seconds
+    uptime_s: _Seconds = 0.0
     revision: _Count
     digest: _Name
-    is_current: bool
+    is_current: bool = False
     service_age_s: _Seconds
     facts: bytes = b""
     votes_asked: bytes = b""
--- a/acacialatch/queries.py
+++ b/acacialatch/queries.py
@@ -32,7 +32,7 @@
 ATTEMPT_TIMEOUT_FACTOR = 10.0
 """An attempt is given up after this many hedge delays."""
 
-RETRY_DELAY_S = 0.05
+RETRY_DELAY_S = 0.25
 """Time after which parts that wait without a usable replica look again."""
 
 _CAUSES = {
--- a/acacialatch/routing.py
+++ b/acacialatch/routing.py
@@ -101,7 +101,13 @@
         self._zone_penalty = zone_penalty
 
     def score(self, candidate: Candidate) -> float:
-        """Return the score of a candidate in seconds; less is better."""
+        """Return the score of a candidate in seconds; less is better.
+
+        A cold replica is usable only while a permit is held, which expires unused.
+        It comes first, since only answered requests make it warm.
+        """
+        if candidate.state is model.ServerState.COLD:
+            return 0.0
         latency = max(candidate.latency_s, LATENCY_MIN_S)
         penalty = 1.0 if candidate.is_local else self._zone_penalty
         return (candidate.in_flight + 1) * latency * penalty
--- /dev/null
+++ b/bench/compare.py
@@ -0,0 +1,262 @@
+"""Compares the product with the naive version at the sizes of the deployments.
+
+Both run on the same seeds and arrival times, in virtual time, over the stand-in
+backend servers.
+"""
+
+import pathlib
+import random
+import statistics
+import typing
+
+import trio
+import trio.testing
+
+from acacialatch import configuration, model
+from bench import fakes, naive
+
+ENTRIES = 8
+WARM_UP_S = 9.0
+"""Time in which eight entry instances elect owners and learn the servers."""
+
+EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
+
+
+class Scenario(typing.NamedTuple):
+    """One measurement.
+
+    Attributes
+    ----------
+    deployment : str
+        File name of the configuration text, without suffix.
+    service : str
+        Service that is queried.
+    rate_per_s : float
+        Queries per second over all entry instances.
+    duration_s : float
+        Time during which queries arrive, in seconds.
+    straggler_rate : float
+        Fraction of sub-requests that take 20 times as long.
+    zone_out : str
+        Availability zone that leaves at a third of the duration and returns cold
+        at two thirds; empty for none.
+    """
+
+    deployment: str
+    service: str
+    rate_per_s: float
+    duration_s: float
+    straggler_rate: float
+    zone_out: str = ""
+
+
+class Measures(typing.NamedTuple):
+    """Results of one run; latencies in milliseconds.
+
+    `extra_load` is the number of sub-requests that arrived at backend servers
+    beyond one for each shard of each query, as a fraction of the latter.
+    """
+
+    queries: int
+    whole: int
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    coverage: float
+    extra_load: float
+    fell_over: int
+
+
+class _Sample(typing.NamedTuple):
+    latency_s: float
+    covered: int
+    total: int
+
+
+def measure(scenario: Scenario, seed: int, is_naive: bool) -> Measures:
+    """Run one scenario in virtual time."""
+    fakes.make_deterministic(seed)
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(_measure, scenario, seed, is_naive, clock=clock)
+
+
+async def _measure(scenario: Scenario, seed: int, is_naive: bool) -> Measures:
+    text = (EXAMPLES / f"{scenario.deployment}.toml").read_bytes()
+    parsed = configuration.parse(text).unwrap()
+    samples: list[_Sample] = []
+    async with trio.open_nursery() as nursery:
+        fleet = fakes.Fleet(nursery, text, parsed, seed, scenario.straggler_rate)
+        run = await _start(fleet, parsed, scenario, seed, is_naive)
+        before = fleet.count("arrived")
+        schedule = _draw_arrivals(scenario, seed)
+        start = trio.current_time()
+        if scenario.zone_out:
+            nursery.start_soon(_move_zone, fleet, text, parsed, scenario)
+        async with trio.open_nursery() as callers:
+            for number, offset in enumerate(schedule):
+                await trio.sleep_until(start + offset)
+                callers.start_soon(_sample, run, number % ENTRIES, samples)
+        arrived = fleet.count("arrived") - before
+        fell_over = fleet.count("fell_over")
+        nursery.cancel_scope.cancel()
+    shards = len(parsed.list_leaves(scenario.service))
+    return _summarise(samples, arrived, shards, fell_over)
+
+
+Run: typing.TypeAlias = typing.Callable[[int], typing.Awaitable[tuple[int, int]]]
+
+
+async def _start(
+    fleet: fakes.Fleet,
+    parsed: model.Configuration,
+    scenario: Scenario,
+    seed: int,
+    is_naive: bool,
+) -> Run:
+    """Start eight entry instances and return the function that queries one."""
+    deadline_s = parsed.kinds[model.QueryKind.FULL_PAGE].deadline_s
+    path = f"/v1/query/{scenario.service}"
+    if is_naive:
+        entries = [
+            naive.NaiveEntry(
+                parsed, fleet.servers, _zone(parsed, number), seed + number
+            )
+            for number in range(ENTRIES)
+        ]
+        run: Run = lambda number: entries[number].run_query(  # noqa: E731
+            scenario.service, deadline_s
+        )
+    else:
+        started = [
+            await fleet.start(f"entry-{number + 1}", _zone(parsed, number))
+            for number in range(ENTRIES)
+        ]
+
+        async def query(number: int) -> tuple[int, int]:
+            _, body = await started[number].post(path, {"kind": "full_page"})
+            return body["coverage"]["covered"], body["coverage"]["total"]
+
+        run = query
+        await trio.sleep(WARM_UP_S)
+    await _warm(run)
+    return run
+
+
+async def _warm(run: Run) -> None:
+    """Query until every replica is warm for every entry instance."""
+    for _ in range(60):
+        async with trio.open_nursery() as nursery:
+            for number in range(ENTRIES):
+                nursery.start_soon(run, number)
+        await trio.sleep(0.25)
+
+
+def _zone(parsed: model.Configuration, number: int) -> str:
+    return parsed.zones[number % len(parsed.zones)]
+
+
+def _draw_arrivals(scenario: Scenario, seed: int) -> list[float]:
+    chance = random.Random(f"arrivals {seed}")
+    arrivals: list[float] = []
+    time = chance.expovariate(scenario.rate_per_s)
+    while time < scenario.duration_s:
+        arrivals.append(time)
+        time += chance.expovariate(scenario.rate_per_s)
+    return arrivals
+
+
+async def _sample(run: Run, number: int, samples: list[_Sample]) -> None:
+    started = trio.current_time()
+    covered, total = await run(number)
+    samples.append(_Sample(trio.current_time() - started, covered, total))
+
+
+async def _move_zone(
+    fleet: fakes.Fleet, text: bytes, parsed: model.Configuration, scenario: Scenario
+) -> None:
+    """Take a zone out, restart its servers, and bring it back."""
+    out = text.replace(
+        b"zones_out = []", f'zones_out = ["{scenario.zone_out}"]'.encode()
+    )
+    await trio.sleep(scenario.duration_s / 3)
+    fleet.platform.publish(out)
+    await trio.sleep(scenario.duration_s / 6)
+    for server in fleet.servers.values():
+        if server.replica.zone == scenario.zone_out:
+            server.restart()
+    await trio.sleep(scenario.duration_s / 6)
+    fleet.platform.publish(text)
+
+
+def _summarise(
+    samples: list[_Sample], arrived: int, shards: int, fell_over: int
+) -> Measures:
+    latencies = sorted(sample.latency_s * 1000 for sample in samples)
+    covered = sum(sample.covered for sample in samples)
+    total = sum(sample.total for sample in samples)
+    needed = len(samples) * shards
+    return Measures(
+        len(samples),
+        sum(0 < sample.covered == sample.total for sample in samples),
+        _quantile(latencies, 0.5),
+        _quantile(latencies, 0.99),
+        _quantile(latencies, 0.999),
+        covered / total if total else 0.0,
+        arrived / needed - 1,
+        fell_over,
+    )
+
+
+def _quantile(ordered: list[float], fraction: float) -> float:
+    return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))]
+
+
+SCENARIOS = {
+    "fiji, stragglers": Scenario("fiji", "lathe-hours", 60.0, 20.0, 0.01),
+    "prairie, stragglers": Scenario("prairie", "painter-search", 60.0, 20.0, 0.01),
+    "fiji, zone out and back": Scenario(
+        "fiji", "lathe-hours", 30.0, 30.0, 0.01, "nadi"
+    ),
+    "prairie, zone out and back": Scenario(
+        "prairie", "painter-search", 30.0, 30.0, 0.01, "regina"
+    ),
+}
+
+
+def print_comparison(
+    name: str, scenario: Scenario, seeds: typing.Sequence[int]
+) -> None:
+    """Print medians over seeds for both versions, and ratios."""
+    results: dict[bool, Measures] = {}
+    for is_naive in (True, False):
+        runs = [measure(scenario, seed, is_naive) for seed in seeds]
+        results[is_naive] = Measures(
+            *(statistics.median(values) for values in zip(*runs, strict=True))
+        )
+    print(f"{name}: {len(seeds)} seeds, {results[True].queries:g} queries")
+    for label, is_naive in (("naive", True), ("product", False)):
+        row = results[is_naive]
+        print(
+            f"  {label:8} p50 {row.p50_ms:7.1f} ms  p99 {row.p99_ms:7.1f} ms  "
+            f"p99.9 {row.p999_ms:7.1f} ms  coverage {row.coverage:.5f}  "
+            f"whole {row.whole:g}  extra load {row.extra_load:+.2%}  "
+            f"fell over {row.fell_over:g}"
+        )
+    print(
+        f"  ratio    p50 {results[False].p50_ms / results[True].p50_ms:.2f}  "
+        f"p99 {results[False].p99_ms / results[True].p99_ms:.2f}  "
+        f"p99.9 {results[False].p999_ms / results[True].p999_ms:.2f}",
+        flush=True,
+    )
+
+
+def main(seeds: int = 3) -> None:
+    """Print every scenario.
+
+    Parameters
+    ----------
+    seeds : int
+        Number of runs of each version; medians are printed.
+    """
+    for name, scenario in SCENARIOS.items():
+        print_comparison(name, scenario, range(1, seeds + 1))
