Keep unproven incarnations open; bound load after a silent restart

Cause: a late reply of an incarnation that was never seen turned a server back to it, and sends without permits before a silent restart was known shared a window with the first permits of the new incarnation. Ruled out: trusting the order of arrival. An owner now waits for the spread of digests and one window when a demand names a new incarnation.

--- a/acacialatch/facts.py
+++ b/acacialatch/facts.py
@@ -207,6 +207,9 @@
     def hear(self, now: float, incarnation: str, sent: float) -> Run | None:
         """Note a reply of an incarnation to a request sent at `sent`.
 
+        Another incarnation that was last seen before `sent` is a former one. If
+        the order is not proven, both stay open, and the server counts as cold.
+
         Returns
         -------
         Run or None
@@ -218,11 +221,7 @@
             return None
         self._former.pop(incarnation, None)
         for key in others:
-            # An unseen incarnation replaces one that was heard directly even if
-            # their order is not proven: cold is the safe assumption.
-            was_heard = self.open[key].sent > float("-inf")
-            is_unseen = incarnation not in self.open
-            if self.open[key].until < sent or (was_heard and is_unseen):
+            if self.open[key].until < sent:
                 self._retire(key)
         run = self.open.setdefault(incarnation, Run(until=now))
         run.until = max(run.until, now)
--- a/acacialatch/permits.py
+++ b/acacialatch/permits.py
@@ -21,6 +21,11 @@
 DEMAND_LIFE_S = 1.2
 # A demand that waited for so long precedes more urgent ones, in seconds.
 PATIENCE_S = 5.0
+# Time in which entry instances learn of a silent restart by digests, in seconds.
+# Until then they may send to the server without permits, as to a warm one.
+RESTART_SPREAD_S = 1.0
+# Incarnations remembered for one server.
+INCARNATIONS_MAX = 16
 # Demands in one request.
 DEMANDS_MAX = 64
 # Requesters remembered for one server.
@@ -117,6 +122,17 @@
     granted: dict[int, _Granted] = dataclasses.field(default_factory=dict)
     wants: dict[str, _Want] = dataclasses.field(default_factory=dict)
     turns: dict[str, int] = dataclasses.field(default_factory=dict)
+    incarnations: dict[str, None] = dataclasses.field(default_factory=dict)
+    unbounded_until: float = float("-inf")
+
+    def note_incarnation(self, now: float, incarnation: str) -> None:
+        """Note that a server runs in this incarnation, if known."""
+        if not incarnation or incarnation in self.incarnations:
+            return
+        self.incarnations[incarnation] = None
+        self.unbounded_until = now + RESTART_SPREAD_S
+        while len(self.incarnations) > INCARNATIONS_MAX:
+            del self.incarnations[next(iter(self.incarnations))]
 
 
 class Ledger:
@@ -156,6 +172,7 @@
     def want(self, now: float, requester: str, demand: Demand) -> None:
         """Note a demand, in place of the requester's former one."""
         account = self._accounts.setdefault(demand.address, _Account())
+        account.note_incarnation(now, demand.incarnation)
         former = account.wants.get(requester)
         if former is None and len(account.wants) >= REQUESTERS_MAX:
             return
@@ -182,11 +199,13 @@
         """
         account = self._accounts[demand.address]
         self._expire(now, account, window_s)
+        if now <= account.unbounded_until + _stretch(window_s):
+            return ()
         free = budget - len(account.granted)
         count = _share(now, account, requester, free)
         if count == 0:
             return ()
-        life_s = PERMIT_LIFE_S / (1 - leases.CLOCK_RATE_MARGIN)
+        life_s = _stretch(PERMIT_LIFE_S)
         permits: list[Permit] = []
         for _ in range(count):
             self._serial += 1
@@ -215,7 +234,7 @@
         del self._addresses[serial]
 
     def _expire(self, now: float, account: _Account, window_s: float) -> None:
-        span_s = window_s / (1 - leases.CLOCK_RATE_MARGIN)
+        span_s = _stretch(window_s)
         for serial, granted in list(account.granted.items()):
             if now > granted.used_by + span_s:
                 self._drop(account, serial)
@@ -226,6 +245,11 @@
             del account.turns[min(account.turns, key=account.turns.__getitem__)]
 
 
+def _stretch(duration_s: float) -> float:
+    """Return a duration that is long enough on any two clocks, in seconds."""
+    return duration_s / (1 - leases.CLOCK_RATE_MARGIN)
+
+
 def _share(now: float, account: _Account, requester: str, free: int) -> int:
     """Return how many of the free places are the requester's.
 
--- a/acacialatch/servers.py
+++ b/acacialatch/servers.py
@@ -44,8 +44,8 @@
     Notes
     -----
     Methods that name an unknown address do nothing or answer as for an unlisted
-    server, since replies may arrive after a server was removed. Every method that
-    can change a state returns the transitions as a list of `Change`.
+    server, since replies may arrive after a server was removed. The `observe` and
+    `set` methods and `merge` return the transitions that they caused.
     """
 
     def __init__(
@@ -141,7 +141,8 @@
         run = row.runs.hear(now, incarnation, sent)
         if run is None:
             return []
-        if incarnation != former:
+        is_restart = former not in ("", row.runs.current())
+        if is_restart:
             row.latency_s = None
         row.heard = now
         row.clear_failures(sent)
@@ -149,7 +150,7 @@
         if is_request:
             self._note_request(now, row, run, latency_s)
         row.raise_phase(now)
-        if former not in ("", incarnation):
+        if is_restart:
             return self._finish(row, before, "restart", is_restart=True)
         return self._finish(row, before, f"reply {stated.value}")
 
