Test the server table and its facts

Cause: restarts, replies and facts arrive in any order. Found by the tests: a fact that was rejected as older made its incarnation a former one, so the result depended on the order of arrival. Only replies make an incarnation a former one now; a rejected fact leaves no trace.

--- a/acacialatch/facts.py
+++ b/acacialatch/facts.py
@@ -233,12 +233,10 @@
         if not fact.incarnation or fact.incarnation in self._former:
             return False
         until = latest_evidence(now, fact)
-        run = self.open.get(fact.incarnation)
-        if run is None:
-            if any(until < other.sent for other in self.open.values()):
-                self._remember_former(fact.incarnation)
-                return False
-            run = self.open[fact.incarnation] = Run(until=until)
+        others = [run for key, run in self.open.items() if key != fact.incarnation]
+        if any(until < run.sent for run in others):
+            return False
+        run = self.open.setdefault(fact.incarnation, Run(until=until))
         run.join(now, peer, fact, trust_progress)
         while len(self.open) > RUNS_MAX:
             self._retire(min(self.open, key=lambda key: (self.open[key].until, key)))
--- a/acacialatch/servers.py
+++ b/acacialatch/servers.py
@@ -142,17 +142,15 @@
         if run is None:
             return []
         is_restart = former not in ("", row.runs.current())
-        if is_restart:
-            row.latency_s = None
+        row.latency_s = None if is_restart else row.latency_s
         row.heard = now
         row.clear_failures(sent)
         self._note_run(now, row, run, stated, versions, sent)
         if is_request:
             self._note_request(now, row, run, latency_s)
         row.raise_phase(now)
-        if is_restart:
-            return self._finish(row, before, "restart", is_restart=True)
-        return self._finish(row, before, f"reply {stated.value}")
+        cause = "restart" if is_restart else f"reply {stated.value}"
+        return self._finish(row, before, cause, is_restart)
 
     def observe_failure(
         self,
--- /dev/null
+++ b/tests/test_servers.py
@@ -0,0 +1,343 @@
+"""Tests of the server table and of the facts that entry instances exchange."""
+
+import collections
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from acacialatch import facts as server_facts
+from acacialatch import model, servers
+
+A, B = "127.0.0.1:7001", "127.0.0.1:7002"
+SHAPE = model.Shape(3, 30, 0.006, 2, 1.0, 2.0, 4)
+READY, COLD = model.ServerState.READY, model.ServerState.COLD
+LEAVING, DEAD = model.ServerState.LEAVING, model.ServerState.DEAD
+SILENT, SHEDDING = model.ServerState.SILENT, model.ServerState.SHEDDING
+SETTINGS = hypothesis.settings(
+    derandomize=True, database=None, deadline=None, max_examples=150
+)
+
+
+def make_configuration(zones_out=(), addresses=(A, B)):
+    zones = ("Ba", "Nadi")
+    replicas = tuple(
+        model.Replica(address, zones[number % 2])
+        for number, address in enumerate(addresses)
+    )
+    keys = model.KeyRange(0, 9)
+    leaf = model.Service("desk", (), "bookings", keys, SHAPE, replicas)
+    out = frozenset(zones_out)
+    return model.Configuration("Fiji", 8, zones, out, {}, {}, {"desk": leaf})
+
+
+def make_table(name="me", seed=1):
+    table = servers.ServerTable(name, seed)
+    table.set_configuration(0.0, make_configuration())
+    return table
+
+
+def reply(table, now, incarnation, stated=READY, latency_s=0.01, address=A):
+    versions = {"bookings": (7, 8)}
+    return table.observe_reply(now, address, incarnation, stated, versions, latency_s)
+
+
+def warm(table, incarnation="x", start=10.0, address=A):
+    for step in range(SHAPE.warm_after_requests + 1):
+        reply(table, start + step, incarnation, address=address)
+    assert table.state(start, address) is READY
+
+
+class RestartMachine(stateful.RuleBasedStateMachine):
+    """Three tables, one server that restarts, replies and facts in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.time, self.run, self.started = 0.0, 0, {0: 0.0}
+        self.answered = collections.Counter()
+        self.rates, self.offsets = (0.95, 1.0, 1.05), (0.0, 500.0, 90.0)
+        self.tables = [make_table(f"me{number}", number) for number in range(3)]
+        self.asked, self.replies, self.digests = [], [], []
+        self.proven = [0, 0, 0]
+
+    def now(self, number):
+        return self.offsets[number] + self.rates[number] * self.time
+
+    @stateful.rule(step=st.sampled_from((0.01, 0.1, 1.0, 2.5)))
+    def advance(self, step):
+        self.time += step
+
+    @stateful.rule()
+    def restart(self):
+        self.run += 1
+        self.started[self.run] = self.time
+
+    @stateful.rule(number=st.integers(0, 2))
+    def send(self, number):
+        self.asked.append((number, self.time, self.run))
+
+    @stateful.rule(pick=st.integers(0, 99))
+    def answer(self, pick):
+        if self.asked:
+            number, sent, asked_run = self.asked.pop(pick % len(self.asked))
+            self.replies.append((number, sent, asked_run, self.run))
+
+    @stateful.rule(pick=st.integers(0, 99))
+    def deliver_reply(self, pick):
+        if self.replies:
+            number, sent, asked_run, run = self.replies.pop(pick % len(self.replies))
+            self.time += 0.001
+            now, latency_s = self.now(number), (self.time - sent) * self.rates[number]
+            self.answered[run] += 1
+            reply(self.tables[number], now, f"run{run}", latency_s=latency_s)
+            if asked_run == run:
+                self.proven[number] = max(self.proven[number], run)
+
+    @stateful.rule(number=st.integers(0, 2), count=st.integers(1, 5))
+    def exchange(self, number, count):
+        for _ in range(count):
+            self.send(number)
+            self.answer(len(self.asked) - 1)
+            self.deliver_reply(len(self.replies) - 1)
+            self.time += 0.6
+
+    @stateful.rule(number=st.integers(0, 2))
+    def tell(self, number):
+        self.digests.append((number, self.tables[number].facts(self.now(number), [A])))
+
+    @stateful.rule(pick=st.integers(0, 99), number=st.integers(0, 2))
+    def deliver_digest(self, pick, number):
+        if self.digests:
+            sender, facts = self.digests[pick % len(self.digests)]
+            self.tables[number].merge(self.now(number), f"me{sender}", facts)
+
+    @stateful.invariant()
+    def warm_only_after_warm_up(self):
+        for number, table in enumerate(self.tables):
+            if table.state(self.now(number), A) is READY:
+                run = int(table.incarnation(A)[3:])
+                assert self.answered[run] >= SHAPE.warm_after_requests
+                age_s = self.time - self.started[run]
+                assert age_s * 1.05 >= SHAPE.warm_up_s
+
+    @stateful.invariant()
+    def never_turned_back(self):
+        for table, proven in zip(self.tables, self.proven, strict=True):
+            incarnation = table.incarnation(A)
+            assert not incarnation or int(incarnation[3:]) >= proven
+
+    def teardown(self):
+        for number, table in enumerate(self.tables):
+            self.time += 1.0
+            reply(table, self.now(number), f"run{self.run}")
+            assert table.incarnation(A) == f"run{self.run}"
+
+
+def test_restarts_replies_and_facts_in_any_order():
+    """Guards against a cold server taken as warm and a server turned back."""
+    stateful.run_state_machine_as_test(
+        RestartMachine,
+        settings=hypothesis.settings(SETTINGS, max_examples=300, stateful_step_count=40),
+    )
+
+
+FACTS = st.builds(
+    server_facts.Fact,
+    st.just(A),
+    st.sampled_from(("x", "y", "z")),
+    st.sampled_from(server_facts.Phase),
+    st.integers(0, 3),
+    st.floats(-1.0, 5.0),
+    st.floats(0.0, 30.0),
+    st.sampled_from(((), (("bookings", (7,)),), (("bookings", (8,)),))),
+)
+
+
+@hypothesis.settings(SETTINGS)
+@hypothesis.given(
+    st.lists(st.tuples(st.sampled_from("pqr"), FACTS), max_size=6),
+    st.randoms(use_true_random=False),
+    st.booleans(),
+)
+def test_facts_resolve_alike_in_any_order(reports, random, is_known):
+    """Guards against tables that differ by the order in which digests arrived."""
+    seen = []
+    for _ in range(2):
+        table = make_table()
+        if is_known:
+            reply(table, 90.0, "x")
+        for peer, fact in reports:
+            table.merge(100.0, peer, [fact])
+        facts = tuple(sorted(table.facts(100.0, [A])))
+        state, incarnation = table.state(100.0, A), table.incarnation(A)
+        seen.append((state, incarnation, facts, table.versions("bookings")))
+        random.shuffle(reports)
+    assert seen[0] == seen[1]
+
+
+def test_silent_restart_between_two_requests():
+    """Guards against warmth, latency and versions kept after a silent restart."""
+    table = make_table()
+    warm(table)
+    changes = reply(table, 20.0, "y")
+    assert changes == [servers.Change(A, READY, COLD, "restart")]
+    assert table.needs_permit(20.0, A)
+    assert table.incarnation(A) == "y"
+    assert table.latency(A) == pytest.approx(0.01)
+    assert reply(table, 20.001, "x", latency_s=0.5) == []
+    assert table.incarnation(A) == "y"
+
+
+def test_whole_zone_returns_cold():
+    """Guards against full load on a returned zone, also by lagging peers' facts."""
+    table, peer = make_table(), make_table("peer")
+    for address in (A, B):
+        warm(table, address=address)
+        warm(peer, address=address)
+    table.set_configuration(20.0, make_configuration(zones_out=("Ba", "Nadi")))
+    assert table.may_send(20.0, A) == (False, "unlisted")
+    changes = table.set_configuration(21.0, make_configuration())
+    assert {change.after for change in changes} == {COLD}
+    table.merge(21.5, "peer", peer.facts(21.5, [A, B]))
+    assert table.needs_permit(21.5, A)
+    assert table.needs_permit(21.5, B)
+    table.merge(25.0, "peer", peer.facts(25.0, [A, B]))
+    assert table.state(25.0, A) is READY
+
+
+def test_removed_server_returns_cold():
+    """Guards against knowledge of a removed address used for its successor."""
+    table = make_table()
+    warm(table)
+    (change,) = table.set_configuration(20.0, make_configuration(addresses=(B,)))
+    assert change.after is model.ServerState.UNLISTED
+    table.set_configuration(21.0, make_configuration())
+    assert table.state(21.0, A) is COLD
+
+
+def test_drain_signal_outlives_list_and_late_replies():
+    """Guards against new work for a leaving server and one that never returns."""
+    table = make_table()
+    warm(table)
+    assert table.observe_drain(20.0, A)[0].after is LEAVING
+    table.set_listed_leaving(20.1, ())
+    reply(table, 20.2, "x")
+    assert table.may_send(20.2, A) == (False, "leaving")
+    assert not table.is_probe_due(20.2, A)
+    assert table.is_probe_due(26.0, A)
+    reply(table, 26.0, "y")
+    assert table.state(26.0, A) is COLD
+    table.set_listed_leaving(27.0, {A})
+    assert table.state(27.0, A) is LEAVING
+    table.set_listed_leaving(28.0, ())
+    assert table.state(28.0, A) is COLD
+
+
+def test_peer_facts_about_unseen_incarnations():
+    """Guards against late belief in cold and leaving, and early belief in warm."""
+    table, peer = make_table(), make_table("peer")
+    reply(peer, 29.0, "y")
+    warm(table)
+    table.merge(30.0, "peer", peer.facts(30.0, [A]))
+    assert table.state(30.0, A) is COLD
+    reply(table, 31.0, "y")
+    warm(peer, "y", 31.0)
+    table.merge(36.0, "peer", peer.facts(36.0, [A]))
+    assert table.state(36.0, A) is READY
+    warm(peer, "z", 40.0)
+    table.merge(45.0, "peer", peer.facts(45.0, [A]))
+    assert table.state(45.0, A) is COLD
+    peer.observe_drain(46.0, A)
+    table.merge(46.0, "peer", peer.facts(46.0, [A]))
+    assert table.state(46.0, A) is LEAVING
+
+
+def test_warm_up_adds_up_over_instances():
+    """Guards against repeated facts counted twice, and counts of others lost."""
+    table, peers = make_table(), [make_table(name) for name in "pq"]
+    reply(table, 10.0, "x")
+    for peer in peers:
+        reply(peer, 11.0, "x")
+        for _ in range(3):
+            table.merge(13.0, peer._instance, peer.facts(13.0, [A]))
+    assert table.state(13.0, A) is COLD
+    assert reply(table, 13.1, "x")[0].after is READY
+
+
+def test_states_restrict_differently():
+    """Guards against one treatment for shedding, silent and dead servers."""
+    table = make_table()
+    warm(table)
+    assert table.observe_failure(20.0, A, servers.Cause.SHED, False, 2.0)
+    assert table.state(20.0, A) is SHEDDING
+    assert not table.is_probe_due(21.9, A)
+    assert table.is_probe_due(22.0, A)
+    table.observe_send(22.0, A)
+    assert not table.is_probe_due(22.0, A)
+    assert not table.needs_permit(22.0, A)
+    assert reply(table, 22.1, "x")[0].after is READY
+
+    table.observe_failure(30.0, A, servers.Cause.NO_REPLY, False)
+    assert table.state(30.0, A) is SILENT
+    assert table.may_send(30.0, A)[0]
+    table.observe_send(30.0, A)
+    assert not table.may_send(30.1, A)[0]
+    table.observe_failure(30.2, A, servers.Cause.NO_REPLY, True)
+    assert table.state(30.2, A) is SILENT
+    table.observe_failure(30.4, A, servers.Cause.CONNECT_TIMEOUT, True)
+    assert table.state(30.4, A) is DEAD
+    assert table.needs_permit(30.4, A)
+    reply(table, 30.5, "x", latency_s=0.4)
+    assert table.state(30.5, A) is DEAD
+    assert reply(table, 31.0, "x")[0].after is READY
+
+
+def test_dead_server_is_probed_with_backoff_and_jitter():
+    """Guards against probes in step, unbounded delays and inflated backoff."""
+    delays = {}
+    for seed in (1, 2):
+        table, now = make_table(seed=seed), 10.0
+        delays[seed] = []
+        table.observe_failure(now, A, servers.Cause.CONNECT_REFUSED, True)
+        for _ in range(8):
+            table.observe_failure(now, A, servers.Cause.NO_REPLY, False)
+            delays[seed].append(table.next_probe(A) - now)
+            now = table.next_probe(A)
+            assert table.is_probe_due(now, A)
+            table.observe_send(now, A)
+            assert not table.is_probe_due(now, A)
+            table.observe_failure(now, A, servers.Cause.CONNECT_REFUSED, True)
+        assert delays[seed][0] <= 0.25
+        assert 2.5 <= delays[seed][-1] <= 5.0
+    assert delays[1] != delays[2]
+
+
+def test_facts_are_bounded_and_repeated():
+    """Guards against digests that grow with the fleet and changes lost for ever."""
+    addresses = tuple(f"127.0.0.1:{7000 + number}" for number in range(110))
+    table, peer = make_table(), make_table("peer")
+    for each in (table, peer):
+        each.set_configuration(1.0, make_configuration(addresses=addresses))
+    for address in addresses:
+        reply(table, 2.0, "x", address=address)
+    digests = [table.facts(3.0) for _ in range(40)]
+    assert max(map(len, digests)) == server_facts.FACTS_MAX
+    assert len(digests[-1]) == server_facts.FACTS_ROTATED
+    for facts in digests[1::2]:
+        peer.merge(4.0, "me", facts)
+    assert peer.list_unknown(200) == ()
+    asked = [fact.address for fact in table.facts(5.0, addresses)]
+    assert asked[:8] == list(addresses[:8])
+    assert len(asked) == 8 + server_facts.FACTS_ROTATED
+
+
+def test_hedge_delay_is_the_95th_percentile():
+    """Guards against a delay from too few or from forgotten latencies."""
+    table = make_table()
+    assert table.hedge_delay("desk") == servers.HEDGE_INITIAL_S
+    for step in range(400):
+        latency_s = 9.0 if step < 200 else (step - 199) / 1000
+        reply(table, 1000.0 + step, "x", latency_s=latency_s)
+    assert table.hedge_delay("desk") == pytest.approx(0.190)
+    assert table.versions("bookings") == {A: (7, 8)}
