--- a/acacialatch/servers.py
+++ b/acacialatch/servers.py
@@ -44,8 +44,8 @@
     Notes
     -----
     Methods that name an unknown address do nothing or answer as for an unlisted
-    server, since replies may arrive after a server was removed. Every method that
-    can change a state returns the transitions as a list of `Change`.
+    server, since replies may arrive after a server was removed. The `observe` and
+    `set` methods and `merge` return the transitions that they caused.
     """
 
     def __init__(
@@ -141,17 +141,16 @@
         run = row.runs.hear(now, incarnation, sent)
         if run is None:
             return []
-        if incarnation != former:
-            row.latency_s = None
+        is_restart = former not in ("", row.runs.current())
+        row.latency_s = None if is_restart else row.latency_s
         row.heard = now
         row.clear_failures(sent)
         self._note_run(now, row, run, stated, versions, sent)
         if is_request:
             self._note_request(now, row, run, latency_s)
         row.raise_phase(now)
-        if former not in ("", incarnation):
-            return self._finish(row, before, "restart", is_restart=True)
-        return self._finish(row, before, f"reply {stated.value}")
+        cause = "restart" if is_restart else f"reply {stated.value}"
+        return self._finish(row, before, cause, is_restart)
 
     def observe_failure(
         self,
