--- a/acacialatch/scatter.py
+++ b/acacialatch/scatter.py
@@ -298,13 +298,13 @@
         retry_after_s: float = 0.0,
     ) -> None:
         part.reason = cause.value
-        if cause in attempts.SNAPSHOT_CAUSES:
-            part.gone.add(attempt.address)
-            if not part.running:
-                self._ask(part)
-            return
         part.avoid(attempt.address, now + retry_after_s)
-        self._retry(now, part)
+        if cause not in attempts.SNAPSHOT_CAUSES:
+            self._retry(now, part)
+            return
+        part.gone.add(attempt.address)
+        if not part.running:
+            self._ask(part)
 
     def _end(self, attempt: attempts.Attempt) -> None:
         del self._running[attempt.number]
--- /dev/null
+++ b/tests/test_scatter.py
@@ -0,0 +1,473 @@
+"""Tests for acacialatch.scatter."""
+
+import copy
+import fractions
+import itertools
+import zlib
+
+from hypothesis import settings, stateful
+from hypothesis import strategies as st
+
+from acacialatch import attempts, errors, model, records, replay, routing, scatter
+
+DEADLINE = 2.0
+KINDS = tuple(model.QueryKind)
+PURPOSE = attempts.Purpose
+POISON = ["poison"]
+
+
+def make_plan(versions, partition_map, cuts, lookup=False):
+    if lookup:
+        keys = [model.KeyRange(5, 6)]
+    else:
+        edges = [0, *sorted(set(cuts)), 24]
+        keys = [model.KeyRange(*pair) for pair in itertools.pairwise(edges)]
+    parts = [
+        attempts.Part(f"i{n}", "i", own, partition_map) for n, own in enumerate(keys)
+    ]
+    if not lookup:
+        parts.append(attempts.Part("j0", "j", model.KeyRange(0, 6), 1))
+    return attempts.Plan(1, tuple(parts), tuple(zip("ij", versions, strict=True)))
+
+
+def make_rows(index, version, keys):
+    return [[index, version, key] for key in sorted(keys) if key % 3]
+
+
+def list_keys(ranges):
+    return {key for start, end in ranges for key in range(start, end)}
+
+
+def make_header(query, floor, seed):
+    return records.Header(
+        answer_id=query.answer_id,
+        entry_instance="127.0.0.1:7000",
+        incarnation="00ff",
+        revision=1,
+        configuration_sha256="0" * 64,
+        membership=("127.0.0.1:7000",),
+        query=query,
+        floor=floor,
+        seed=seed,
+        policy="LeastLoaded",
+    )
+
+
+class ScatterMachine(stateful.RuleBasedStateMachine):
+    """Drives one query and compares it with sets of keys."""
+
+    @stateful.initialize(
+        kind=st.sampled_from(KINDS),
+        floor=st.sampled_from([(1, 1), (9, 10), (1, 2)]),
+        limit=st.sampled_from([4, 1000]),
+        seed=st.integers(0, 2**32),
+        cuts=st.lists(st.integers(1, 23), max_size=2),
+        data=st.data(),
+    )
+    def start(self, kind, floor, limit, seed, cuts, data):
+        self.now = 0.0
+        self.data = data
+        self.lookup = kind is model.QueryKind.LOOKUP
+        key = 5 if self.lookup else None
+        self.query = model.Query("q", "s", kind, DEADLINE, key, limit, "body")
+        self.floor = floor
+        self.scatter = scatter.Scatter(self.query, floor, seed)
+        self.writer = records.RecordWriter(make_header(self.query, floor, seed))
+        self.sent, self.finish, self.armed, self.restarts = {}, None, None, 0
+        self.adopt(make_plan((5, 5), 1, cuts, self.lookup))
+        self.deliver(attempts.Start(self.plan))
+
+    def adopt(self, plan):
+        self.plan = plan
+        self.live, self.queued, self.hedged = {}, {}, set()
+        self.accepted = {n: [] for n in range(len(plan.parts))}
+        self.last_failed, self.suspect = {}, set()
+        self.replanning = False
+
+    def covered(self, part):
+        return set().union(*self.accepted[part])
+
+    def wanted(self, part):
+        return set(range(*self.plan.parts[part].keys))
+
+    # Delivery of events and checks of the decisions.
+
+    def deliver(self, event):
+        finished = self.finish is not None
+        expired = self.now >= DEADLINE
+        if isinstance(event, attempts.Timer):
+            self.armed = None
+        decisions = self.scatter.handle(self.now, event)
+        if finished:
+            assert decisions == []
+            return
+        self.writer.add(self.now, event, decisions)
+        if not expired:
+            self.note(event)
+        for decision in decisions:
+            self.check(event, decision)
+        assert not expired or self.finish is not None
+        for decision in decisions:
+            if isinstance(decision, attempts.Choose):
+                self.deliver(self.draw_view(decision.part, decision.purpose))
+        if isinstance(event, attempts.Timer):
+            assert all(send.deadline > self.now for send, *_ in self.live.values())
+
+    def draw_view(self, part, purpose):
+        mask = self.data.draw(st.sampled_from([7, 7, 7, 6, 5, 3, 1, 2, 4, 0]))
+        load = self.data.draw(st.integers(0, 2))
+        candidates = tuple(
+            routing.Candidate(
+                f"{self.plan.parts[part].service}/{n}",
+                "z",
+                model.ServerState.READY if mask & 1 << n else model.ServerState.DEAD,
+                load if n == 0 else 1,
+                0.01,
+                bool(mask & 1 << n),
+                "" if mask & 1 << n else "dead",
+                n == 0,
+                True,
+            )
+            for n in range(3)
+        )
+        allows = self.data.draw(st.sampled_from([True, True, True, False]))
+        delay = self.data.draw(st.sampled_from([0.05, 0.05, None]))
+        return attempts.View(part, purpose, candidates, allows, delay, 0.6)
+
+    def note(self, event):
+        """Follow an event with sets of keys."""
+        if isinstance(event, attempts.Failed) and event.attempt in self.live:
+            self.lose(event.attempt)
+            if event.cause in attempts.SNAPSHOT_CAUSES or event.retry_after_s:
+                self.suspect.add(self.sent[event.attempt][0].address)
+        if isinstance(event, attempts.Reply) and event.attempt in self.live:
+            send = self.live[event.attempt][0]
+            self.lose(event.attempt)
+            if not self.is_honest(event, send):
+                # Such a reply may show that the replica lacks the snapshot.
+                self.suspect.add(send.address)
+                return
+            new = list_keys(event.ranges)
+            old = self.accepted[send.part]
+            shared = [keys for keys in old if keys & new]
+            if all(keys <= new for keys in shared) and new - self.covered(send.part):
+                rest = [keys for keys in old if keys not in shared]
+                self.accepted[send.part] = [*rest, new]
+
+    def lose(self, number):
+        send = self.live.pop(number)[0]
+        self.last_failed[send.part] = send.address
+
+    def is_honest(self, reply, send):
+        part = self.sent[send.attempt][3]
+        own = (send.request_id, part.index, send.version, part.partition_map, True)
+        keys = list_keys(reply.ranges)
+        return (
+            (
+                reply.request_id,
+                reply.index,
+                reply.version,
+                reply.partition_map,
+                reply.whole,
+            )
+            == own
+            and bool(keys)
+            and keys <= set(range(*part.keys))
+            and all(start < end for start, end in reply.ranges)
+            and len(keys) == sum(end - start for start, end in reply.ranges)
+        )
+
+    def check(self, event, decision):
+        assert self.finish is None
+        match decision:
+            case attempts.Send():
+                self.check_send(event, decision)
+            case attempts.Cancel(number):
+                if number in self.live:
+                    self.lose(number)
+            case attempts.Wait(part):
+                self.queued[part] = event.purpose
+            case attempts.WakeAt(time):
+                assert time <= DEADLINE
+                self.armed = time
+            case attempts.Restart():
+                assert not self.replanning
+                assert self.restarts < scatter.RESTARTS_MAX
+                self.replanning = True
+            case attempts.Finish(outcome):
+                self.finish = outcome
+                assert not self.live
+                self.check_outcome(outcome)
+
+    def check_send(self, event, send):
+        assert isinstance(event, attempts.View)
+        assert self.now < DEADLINE
+        assert self.now < send.deadline <= DEADLINE
+        assert send.attempt not in self.sent
+        assert (
+            send.version == dict(self.plan.versions)[self.plan.parts[send.part].index]
+        )
+        assert list_keys(send.ranges) == self.wanted(send.part) - self.covered(
+            send.part
+        )
+        usable = {c.address for c in event.candidates if c.usable}
+        running = {
+            s.address: (s, *r) for s, *r in self.live.values() if s.part == send.part
+        }
+        assert send.address in usable - set(running)
+        failed = self.last_failed.get(send.part)
+        others = usable - {failed} - set(running) - self.suspect
+        assert send.address != failed or not others
+        assert send.purpose is PURPOSE.FIRST or event.budget_allows
+        if send.purpose is PURPOSE.HEDGE:
+            assert send.part not in self.hedged
+            self.hedged.add(send.part)
+            ((_, sent_at, delay, _),) = running.values()
+            assert self.now >= sent_at + delay
+        else:
+            assert not running
+        spec = self.plan.parts[send.part]
+        entry = (send, self.now, event.hedge_delay_s, spec)
+        self.sent[send.attempt] = self.live[send.attempt] = entry
+
+    def check_outcome(self, outcome):
+        covered = {n: self.covered(n) for n in self.accepted}
+        count = sum(map(len, covered.values()))
+        total = sum(part.keys.size() for part in self.plan.parts)
+        assert (outcome.covered, outcome.total) == (count, total)
+        assert outcome.versions == self.plan.versions
+        missing = {
+            (gap.service, k) for gap in outcome.missing for k in range(*gap.keys)
+        }
+        assert missing == {
+            (part.service, k)
+            for n, part in enumerate(self.plan.parts)
+            for k in self.wanted(n) - covered[n]
+        }
+        assert all(gap.reason for gap in outcome.missing)
+        if outcome.failure is None:
+            self.check_rows(outcome, covered)
+        self.check_kind(outcome, fractions.Fraction(count, total))
+
+    def check_rows(self, outcome, covered):
+        versions = dict(self.plan.versions)
+        expected = [
+            row
+            for n, part in enumerate(self.plan.parts)
+            for row in make_rows(part.index, versions[part.index], covered[n])
+        ]
+        assert len(outcome.rows) == min(len(expected), self.query.limit)
+        remaining = list(expected)
+        for row in outcome.rows:
+            remaining.remove(row)
+
+    def check_kind(self, outcome, share):
+        kind, failure = self.query.kind, outcome.failure
+        if failure and failure.kind is errors.ErrorKind.CALLER_GONE:
+            return
+        if failure:
+            assert self.now >= DEADLINE
+            assert kind is not model.QueryKind.URGENT
+        if kind is model.QueryKind.FULL_PAGE:
+            assert (failure is None) == (share >= fractions.Fraction(*self.floor))
+        elif kind is model.QueryKind.LOOKUP:
+            assert (failure is None) == (share == 1)
+        elif self.now < DEADLINE:
+            assert share == 1 or len(outcome.rows) == self.query.limit
+
+    # Rules.
+
+    def draw_attempt(self, live_only):
+        numbers = sorted(self.live if live_only else self.sent)
+        return self.sent[self.data.draw(st.sampled_from(numbers))][0]
+
+    def make_reply(self, send, ranges):
+        part = self.sent[send.attempt][3]
+        rows = make_rows(part.index, send.version, list_keys(ranges))
+        return attempts.Reply(
+            send.attempt,
+            send.request_id,
+            part.index,
+            send.version,
+            part.partition_map,
+            tuple(ranges),
+            rows,
+            True,
+        )
+
+    @stateful.precondition(lambda self: self.live)
+    @stateful.rule(data=st.data())
+    def reply_honestly(self, data):
+        self.data = data
+        send = self.draw_attempt(True)
+        self.deliver(self.make_reply(send, send.ranges))
+
+    @stateful.precondition(lambda self: self.live)
+    @stateful.rule(data=st.data())
+    def reply_partly(self, data):
+        self.data = data
+        send = self.draw_attempt(True)
+        keys = self.plan.parts[send.part].keys
+        points = data.draw(
+            st.lists(st.integers(keys.start, keys.end), min_size=2, max_size=4)
+        )
+        points = sorted(set(points))
+        pairs = zip(points[::2], points[1::2], strict=False)
+        self.deliver(self.make_reply(send, [model.KeyRange(*p) for p in pairs]))
+
+    @stateful.precondition(lambda self: self.sent)
+    @stateful.rule(
+        data=st.data(),
+        fault=st.sampled_from(
+            ["late", "crossed", "version", "map", "index", "cut", "outside", "doubled"]
+        ),
+    )
+    def reply_wrongly(self, data, fault):
+        self.data = data
+        send = self.draw_attempt(live_only=False)
+        reply = self.make_reply(send, send.ranges)
+        first = send.ranges[0]
+        faults = {
+            "late": {},
+            "crossed": {"request_id": self.draw_attempt(False).request_id},
+            "version": {"version": send.version + data.draw(st.sampled_from([-1, 1]))},
+            "map": {"partition_map": reply.partition_map + 1},
+            "index": {"index": "j" if reply.index == "i" else "i"},
+            "cut": {"whole": False},
+            "outside": {"ranges": (model.KeyRange(first.start - 1, first.end),)},
+            "doubled": {"ranges": (*send.ranges, first)},
+        }
+        wrong = reply._replace(**faults[fault])
+        if not self.is_honest(wrong, send):
+            wrong = wrong._replace(rows=[POISON])
+        self.deliver(wrong)
+
+    @stateful.precondition(lambda self: self.sent)
+    @stateful.rule(data=st.data(), cause=st.sampled_from(attempts.Cause))
+    def fail(self, data, cause):
+        self.data = data
+        send = self.draw_attempt(data.draw(st.booleans()) and bool(self.live))
+        wait = 0.3 if cause is attempts.Cause.SHED else 0.0
+        self.deliver(attempts.Failed(send.attempt, cause, (("i", 6),), wait))
+
+    @stateful.precondition(lambda self: self.armed is not None)
+    @stateful.rule(data=st.data(), late=st.sampled_from([0.0, 0.0, 0.02, 0.7]))
+    def ring(self, data, late):
+        self.data = data
+        self.now = max(self.now, self.armed) + late
+        self.deliver(attempts.Timer())
+
+    @stateful.rule(data=st.data(), passed=st.sampled_from([0.0, 0.001, 0.03]))
+    def ring_early(self, data, passed):
+        self.data = data
+        self.now += passed
+        self.deliver(attempts.Timer())
+
+    @stateful.precondition(lambda self: self.queued)
+    @stateful.rule(data=st.data())
+    def leave_queue(self, data):
+        self.data = data
+        part = data.draw(st.sampled_from(sorted(self.queued)))
+        self.deliver(self.draw_view(part, self.queued.pop(part)))
+
+    @stateful.rule(data=st.data(), purpose=st.sampled_from(attempts.Purpose))
+    def view_unasked(self, data, purpose):
+        self.data = data
+        part = data.draw(st.integers(0, len(self.plan.parts) - 1))
+        if self.queued.get(part) is not purpose:
+            event = self.draw_view(part, purpose)
+            decisions = self.scatter.handle(self.now, event)
+            self.writer.add(self.now, event, decisions)
+            for decision in decisions:
+                assert isinstance(decision, attempts.WakeAt | attempts.Finish)
+                self.check(event, decision)
+
+    @stateful.precondition(lambda self: self.replanning)
+    @stateful.rule(
+        data=st.data(),
+        fault=st.sampled_from([*[""] * 4, "none", "same", "older", "lost", "doubled"]),
+        cuts=st.lists(st.integers(1, 23), max_size=2),
+    )
+    def replan(self, data, fault, cuts):
+        self.data = data
+        versions = dict(self.plan.versions)
+        newer = (versions["i"] + 1, versions["j"])
+        plan = make_plan(newer, 2, cuts, self.lookup)
+        if fault == "same":
+            plan = plan._replace(versions=self.plan.versions)
+        elif fault == "older":
+            plan = plan._replace(versions=(("i", newer[0]), ("j", newer[1] - 1)))
+        elif fault == "lost":
+            plan = plan._replace(parts=plan.parts[1:])
+        elif fault == "doubled":
+            copied = plan.parts[0]._replace(service="copy")
+            plan = plan._replace(parts=(*plan.parts, copied))
+        self.replanning = False
+        if fault or self.finish or self.now >= DEADLINE:
+            self.deliver(attempts.Replan(None if fault == "none" else plan))
+            return
+        running = set(self.live)
+        self.restarts += 1
+        self.adopt(plan)
+        decisions = self.scatter.handle(self.now, attempts.Replan(plan))
+        self.writer.add(self.now, attempts.Replan(plan), decisions)
+        cancelled = [d.attempt for d in decisions if isinstance(d, attempts.Cancel)]
+        chosen = [d.part for d in decisions if isinstance(d, attempts.Choose)]
+        assert sorted(cancelled) == sorted(running)
+        assert chosen == list(range(len(plan.parts)))
+        for decision in decisions:
+            self.check(attempts.Replan(plan), decision)
+        for part in chosen:
+            self.deliver(self.draw_view(part, PURPOSE.FIRST))
+
+    @stateful.precondition(lambda self: self.now > DEADLINE / 2)
+    @stateful.rule()
+    def leave(self):
+        self.deliver(attempts.CallerGone())
+
+    @stateful.invariant()
+    def matches_sets_of_keys(self):
+        if self.finish is not None:
+            return
+        ended = copy.deepcopy(self.scatter).handle(DEADLINE, attempts.Timer())[-1]
+        now, self.now = self.now, DEADLINE
+        self.check_outcome(ended.outcome)
+        self.now = now
+
+    @stateful.invariant()
+    def goes_on_until_the_deadline(self):
+        """Every incomplete part has an attempt, a timer or a place in a queue."""
+        if self.finish is not None or self.now >= DEADLINE - 0.002:
+            return
+        assert self.armed is not None
+        running = {send.part for send, *_ in self.live.values()}
+        for part in self.accepted:
+            if self.wanted(part) == self.covered(part):
+                assert part not in running
+            elif part not in running and part not in self.queued:
+                assert self.replanning or self.armed < DEADLINE
+
+    def teardown(self):
+        if not hasattr(self, "writer"):
+            return
+        data = self.writer.finish()
+        record = records.read(data).unwrap()
+        compared = replay.replay(record)
+        assert compared.same, compared.difference
+        assert compared.complete == (self.finish is not None)
+        position = zlib.crc32(data) % len(data)
+        changed = bytes([data[position] ^ (1 + position % 255)])
+        edited = data[:position] + changed + data[position + 1 :]
+        assert records.read(edited).is_err()
+
+
+# Guards against mixed snapshots, false coverage, doubled rows, work after the
+# deadline, forgotten parts and decisions that depend on anything but the events.
+TestScatterMachine = ScatterMachine.TestCase
+TestScatterMachine.settings = settings(
+    max_examples=150,
+    stateful_step_count=40,
+    derandomize=True,
+    database=None,
+    deadline=None,
+)
