--- /dev/null
+++ b/tests/test_records.py
@@ -0,0 +1,215 @@
+"""Tests for acacialatch.records and acacialatch.replay."""
+
+import hashlib
+import math
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from acacialatch import attempts, model, records, replay, routing, scatter
+
+QUERY = model.Query("q1", "desk", model.QueryKind.FULL_PAGE, 1.0, None, 10, "text")
+HEADER = records.Header(
+    answer_id="q1",
+    entry_instance="127.0.0.1:7000",
+    incarnation="00ff",
+    revision=3,
+    configuration_sha256="0" * 64,
+    membership=("127.0.0.1:7000", "127.0.0.1:7001"),
+    query=QUERY,
+    floor=(1, 1),
+    seed=5,
+    policy="LeastLoaded",
+)
+PLAN = attempts.Plan(
+    3, (attempts.Part("desk", "i", model.KeyRange(0, 4), 1),), (("i", 8),)
+)
+
+
+def make_view(purpose):
+    replicas = [("10.0.0.1:1", True, ""), ("10.0.0.2:1", True, ""), ("c", False, "out")]
+    candidates = tuple(
+        routing.Candidate(
+            address, "Ba", model.ServerState.READY, n, 0.01, usable, reason, True, True
+        )
+        for n, (address, usable, reason) in enumerate(replicas)
+    )
+    return attempts.View(0, purpose, candidates, True, 0.02, 0.5)
+
+
+def make_events():
+    whole = (model.KeyRange(0, 4),)
+    yield 0.0, attempts.Start(PLAN)
+    yield 0.0, make_view(attempts.Purpose.FIRST)
+    yield 0.02, attempts.Timer()
+    yield 0.02, make_view(attempts.Purpose.HEDGE)
+    yield 0.03, attempts.Failed(1, attempts.Cause.SHED, (("i", 8),), 0.25)
+    yield 0.04, attempts.Reply(2, "q1-2", "i", 8, 1, whole[:0], (), True)
+    yield 0.04, make_view(attempts.Purpose.RETRY)
+    yield 0.05, attempts.Reply(3, "q1-3", "i", 8, 1, whole, ("x", {"a": 1.5}), True)
+
+
+def write(events=None, bytes_max=records.RECORD_BYTES_MAX):
+    machine = scatter.Scatter(QUERY, (1, 1), 5)
+    writer = records.RecordWriter(HEADER, bytes_max)
+    for now, event in events or make_events():
+        writer.add(now, event, machine.handle(now, event))
+    return writer.finish(), machine
+
+
+def test_round_trip_and_explanation():
+    """Guards against a record that cannot explain the answer it belongs to."""
+    data, machine = write()
+    assert machine.finished
+    record = records.read(data).unwrap()
+    assert record.header == HEADER
+    assert (record.dropped, record.reason) == (0, None)
+    assert [step.time for step in record.steps] == [now for now, _ in make_events()]
+    outcome = record.steps[-1].decisions[-1].outcome
+    digest = hashlib.sha256(b'["x",{"a":1.5}]').hexdigest()
+    assert list(outcome.rows) == [2, digest]
+    assert outcome.sources == ((3, 2),)
+    compared = replay.replay(record)
+    assert (compared.same, compared.complete) == (True, True)
+    text = "\n".join(compared.lines)
+    for part in (
+        "asked 10.0.0.1:1",
+        "asked 10.0.0.2:1",
+        "(hedge)",
+        "skipped c (zone Ba, ready, 2 in flight, 10.0 ms): out",
+        "an attempt is in progress there",
+        "attempt 1 failed: shed",
+        "asked for no request yet",
+        "gave up attempt 2",
+        "answered: covered 4 of 4 keys",
+    ):
+        assert part in text
+
+
+def test_any_changed_byte_is_refused():
+    """Guards against an edited record that is still read."""
+    data, _ = write()
+    starts = [0] + [n + 1 for n, byte in enumerate(data) if byte == 0x0A]
+    for position, byte in enumerate(data):
+        line = sum(start <= position for start in starts)
+        for change in (1, 0x20, 0x80, byte ^ 0x0A):
+            if not change:
+                continue
+            edited = data[:position] + bytes([byte ^ change]) + data[position + 1 :]
+            outcome = records.read(edited)
+            assert outcome.is_err()
+            # A lost line feed joins the line to the next one.
+            assert outcome.err_value.line in (line, line + 1)
+            assert outcome.err_value.field
+
+
+@pytest.mark.parametrize("size", [1, 7, 100])
+def test_cut_or_extended_record_is_refused(size):
+    """Guards against a record that lost its end or has a second one."""
+    data, _ = write()
+    for length in range(0, len(data), size):
+        problem = records.read(data[:length]).err_value
+        assert problem.line == data[:length].count(b"\n") + 1
+        assert problem.field
+    assert records.read(data + data[-size:]).is_err()
+    lines = data.splitlines(keepends=True)
+    for n in range(len(lines)):
+        assert records.read(b"".join(lines[:n] + lines[n + 1 :])).is_err()
+
+
+def test_edit_names_line_and_field():
+    """Guards against a refusal that does not say where the edit is."""
+    data, _ = write()
+    edited = data.replace(b'"time":0.03', b'"time":"03"')
+    assert records.read(edited).err_value[:2] == (6, "time")
+    edited = data.replace(b'"seed":5', b'"seed":6')
+    assert records.read(edited).err_value[:2] == (1, "check")
+
+
+def test_replay_shows_first_difference():
+    """Guards against a replay that accepts decisions the core would not make."""
+    machine = scatter.Scatter(QUERY, (1, 1), 5)
+    writer = records.RecordWriter(HEADER)
+    for now, event in make_events():
+        decisions = machine.handle(now, event)
+        if isinstance(event, attempts.Failed):
+            decisions = [*decisions, attempts.Wait(0)]
+        writer.add(now, event, decisions)
+    compared = replay.replay(records.read(writer.finish()).unwrap())
+    assert not compared.same
+    assert compared.difference.step == 5
+    assert compared.difference.recorded[-1] == attempts.Wait(0)
+    assert compared.difference.replayed == compared.difference.recorded[:-1]
+
+
+@settings(max_examples=60, derandomize=True, database=None, deadline=None)
+@given(
+    st.integers(records.RECORD_BYTES_MIN, 9000),
+    st.integers(0, 40),
+    st.integers(0, 9000),
+)
+def test_record_is_bounded(bytes_max, repeats, body):
+    """Guards against a record that outgrows its bound or hides what it lost."""
+    header = {**HEADER, "query": QUERY._replace(body="b" * body)}
+    writer = records.RecordWriter(header, bytes_max)
+    for n in range(repeats):
+        writer.add(float(n), make_view(attempts.Purpose.FIRST), [])
+    data = writer.finish()
+    assert len(data) <= bytes_max
+    record = records.read(data).unwrap()
+    assert len(record.steps) + record.dropped == repeats
+    is_cut = record.dropped > 0 or record.header["query"].body != "b" * body
+    assert (record.reason is not None) == is_cut
+
+
+@pytest.mark.parametrize(
+    "event",
+    [
+        make_view(attempts.Purpose.FIRST)._replace(attempt_timeout_s=math.inf),
+        attempts.Failed(1, attempts.Cause.SHED, (), math.nan),
+        attempts.Reply(1, "\ud800", "i", 8, 1, (), (), True),
+        attempts.Reply(1, "r", "i", 8, 1, (), ("\ud800",), True),
+    ],
+)
+def test_step_without_json_marks_record_incomplete(event):
+    """Guards against an exception, or a value that reads back differently."""
+    writer = records.RecordWriter(HEADER)
+    writer.add(0.0, event, [])
+    writer.add(0.1, attempts.Timer(), [])
+    record = records.read(writer.finish()).unwrap()
+    assert (record.steps, record.dropped) == ((), 2)
+    assert record.reason == "a step cannot be encoded"
+    assert not replay.replay(record).complete
+
+
+def test_values_of_unknown_kind_are_refused():
+    """Guards against a record with valid hashes that breaks the replay."""
+    writer = records.RecordWriter(HEADER)
+    writer.add(
+        0.0, attempts.Attempt(1, 0, "a", attempts.Purpose.FIRST, "r", 1, 1.0), []
+    )
+    problem = records.read(writer.finish()).err_value
+    assert (problem.line, problem.field) == (2, "event")
+    assert msgspec.json.encode(problem.text)
+
+
+@settings(max_examples=100, derandomize=True, database=None, deadline=None)
+@given(
+    st.lists(st.tuples(st.floats(0, 0.7), st.integers(1, 400)), max_size=60),
+)
+def test_rate_limit_bounds_every_window(arrivals):
+    """Guards against bursts over the rate and against uncounted losses."""
+    limit = records.RateLimit(5.0, 1000.0)
+    now, taken, lost = 0.0, [], []
+    for passed, size in arrivals:
+        now += passed
+        (taken if limit.allows(now, size) else lost).append((now, size))
+    for start, _ in taken:
+        window = [size for time, size in taken if start <= time <= start + 2]
+        assert len(window) <= 5 * 3
+        assert sum(window) <= 1000 * 3
+    assert limit.dropped_records == len(lost)
+    assert limit.dropped_bytes == sum(size for _, size in lost)
+    assert records.RateLimit(5.0, 1000.0).allows(0.0, 400)
