Grant permits for one whole send at a time

A send on a new connection to a cold server needs two permits, one for the set-up. Grants are now whole or nothing, and an entry instance without a usable replica asks for one replica of the service only.

--- a/acacialatch/configuration.py
+++ b/acacialatch/configuration.py
@@ -206,7 +206,8 @@
             reader.read_integer("slots", 1, COUNT_MAX),
             connections,
             reader.read_integer("connect_ms", 0, DURATION_MAX_MS),
-            reader.read_integer("cold_requests", 1, COUNT_MAX),
+            # A request on a new connection counts twice towards the budget.
+            reader.read_integer("cold_requests", 2, COUNT_MAX),
             reader.read_integer("cold_window_ms", 1, DURATION_MAX_MS),
             reader.read_integer("warm_up_ms", 0, DURATION_MAX_MS),
             reader.read_integer("warm_after_requests", 1, COUNT_MAX),
--- a/acacialatch/control.py
+++ b/acacialatch/control.py
@@ -26,9 +26,6 @@
 DEMAND_DELAY_S = 0.2
 """Sends that lack a permit bring the next digest forward to this delay."""
 
-DEMAND_MAX = 8
-"""Permits asked for at once for one server; a budget is not larger today."""
-
 WATCH_WAIT_S = 1.0
 """Longest time for which the configuration service may hold a watch, in seconds."""
 
@@ -410,10 +407,10 @@
             permits.Demand(
                 address,
                 self._table.incarnation(address),
-                min(count, DEMAND_MAX),
-                0,
+                wanted.count,
+                wanted.urgency,
             )
-            for address, count in self._dispatcher.take_demand().items()
+            for address, wanted in self._dispatcher.take_demand().items()
         ]
         return self._owner.ask(now, self._members.list_incarnations(now), demand)
 
--- a/acacialatch/dispatch.py
+++ b/acacialatch/dispatch.py
@@ -1,6 +1,6 @@
 """Sends to backend servers: the last check before each send, and its end."""
 
-import collections
+import hashlib
 import itertools
 import typing
 
@@ -28,6 +28,10 @@
 
 SHED_STATUS = 503
 
+WORK_URGENCY = 0
+WARM_UP_URGENCY = 1
+PROBE_URGENCY = 1
+
 
 class Identity(typing.NamedTuple):
     """Who this entry instance is.
@@ -51,6 +55,13 @@
     peer_address: str
 
 
+class Demand(typing.NamedTuple):
+    """Permits that are wanted for one server; urgency 0 is served first."""
+
+    count: int
+    urgency: int
+
+
 class Sent(typing.NamedTuple):
     """A send in progress.
 
@@ -102,7 +113,7 @@
         self.table = table
         self.shares = shares
         self.peers_known = False
-        self.demand: collections.Counter[str] = collections.Counter()
+        self.demand: dict[str, Demand] = {}
         self._services: dict[str, model.Service] = {}
         self._idle: dict[str, int] = {}
         self._sent: dict[int, Sent] = {}
@@ -122,8 +133,6 @@
         """Return how a replica is seen now, with the reason for an exclusion."""
         address = replica.address
         reason = self.find_obstacle(now, service, address)
-        if reason == _COLD_BUDGET:
-            self.demand[address] += self._needed_permits(address)
         return routing.Candidate(
             address,
             replica.zone,
@@ -184,7 +193,7 @@
         if self.table.needs_permit(now, address) and not self._take_permits(
             now, address
         ):
-            self.demand[address] += self._needed_permits(address)
+            self._add_demand(address, PROBE_URGENCY)
             return None
         self.table.observe_send(now, address)
         if self._idle.get(address, 0) > 0:
@@ -269,11 +278,40 @@
         service = self._services.get(address)
         return 0 if service is None else self.shares.connection_share(service.name)
 
-    def take_demand(self) -> dict[str, int]:
-        """Return and reset the number of permits that sends lacked, by server."""
-        demand, self.demand = dict(self.demand), collections.Counter()
+    def note_demand(self, candidates: typing.Sequence[routing.Candidate]) -> None:
+        """Ask for permits that would make a candidate usable.
+
+        While no candidate is usable, work waits; permits for one of them, not the
+        same at each entry instance, serve it. Permits for all would mostly expire
+        unused, and an unused permit blocks the budget for its whole life. While
+        another candidate is usable, permits only serve to warm the cold ones.
+        """
+        cold = [
+            candidate.address
+            for candidate in candidates
+            if candidate.reason == _COLD_BUDGET
+        ]
+        if any(candidate.usable for candidate in candidates):
+            for address in cold:
+                self._add_demand(address, WARM_UP_URGENCY)
+        elif cold:
+            self._add_demand(min(cold, key=self._rank), WORK_URGENCY)
+
+    def take_demand(self) -> dict[str, Demand]:
+        """Return and reset the permits that sends lacked, by server."""
+        demand, self.demand = self.demand, {}
         return demand
 
+    def _add_demand(self, address: str, urgency: int) -> None:
+        # Permits for one send at a time, so that entry instances take turns.
+        former = self.demand.get(address, Demand(0, urgency))
+        needed = self._needed_permits(address)
+        self.demand[address] = Demand(needed, min(urgency, former.urgency))
+
+    def _rank(self, address: str) -> bytes:
+        text = f"{self.identity.incarnation} {address}"
+        return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
     def _limit(self, service: model.Service) -> int:
         return min(
             self.shares.slot_limit(service.name),
--- a/acacialatch/permits.py
+++ b/acacialatch/permits.py
@@ -253,8 +253,11 @@
 def _share(now: float, account: _Account, requester: str, free: int) -> int:
     """Return how many of the free places are the requester's.
 
-    Places go one by one to the requesters in order of urgency, those that were
-    served longest ago first.
+    A demand is served whole or not at all: a send on a new connection needs two
+    permits at once, and two requesters that hold one each would both wait in vain.
+    Demands are served in order of urgency, those of requesters that were served
+    longest ago first. The first one that does not fit keeps later ones waiting, so
+    that small demands cannot starve it.
     """
 
     def rank(name: str) -> tuple[int, int, str]:
@@ -263,16 +266,14 @@
         urgency = 0 if is_overdue else want.urgency
         return urgency, account.turns.get(name, 0), name
 
-    left = {name: account.wants[name].count for name in account.wants}
-    order = sorted(left, key=rank)
-    share = 0
-    while free > 0 and left.get(requester, 0) > 0:
-        for name in order:
-            if free > 0 and left[name] > 0:
-                left[name] -= 1
-                free -= 1
-                share += name == requester
-    return share
+    for name in sorted(account.wants, key=rank):
+        count = account.wants[name].count
+        if count > free:
+            return 0
+        if name == requester:
+            return count
+        free -= count
+    return 0
 
 
 def _sum_demands(demands: typing.Iterable[Demand]) -> list[Demand]:
--- a/acacialatch/submissions.py
+++ b/acacialatch/submissions.py
@@ -240,6 +240,7 @@
             self._dispatcher.make_candidate(now, service, replica)
             for replica in service.replicas
         ]
+        self._dispatcher.note_demand(candidates)
         usable = [candidate for candidate in candidates if candidate.usable]
         usable.sort(
             key=lambda candidate: (
--- a/examples/generate.py
+++ b/examples/generate.py
@@ -67,7 +67,7 @@
         ("regina", "saskatoon", "winnipeg", "brandon"),
         11,
         (1000, 5000, 100, 30000),
-        (Shape("desk", 2, 25, 6, 1), Shape("portal", 4, 45, 1, 3)),
+        (Shape("desk", 2, 25, 6, 2), Shape("portal", 4, 45, 1, 3)),
         (
             Group("dispatch-desk", 65536, 20, 2, "desk"),
             Group("dues-ledger", 65536, 30, 2, "desk"),
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -138,7 +138,9 @@
     """Guards against a cold server taken as warm and a server turned back."""
     stateful.run_state_machine_as_test(
         RestartMachine,
-        settings=hypothesis.settings(SETTINGS, max_examples=300, stateful_step_count=40),
+        settings=hypothesis.settings(
+            SETTINGS, max_examples=300, stateful_step_count=40
+        ),
     )
 
 
