Make the scatter tests detect faults that mutations showed as unseen

Cause: with a mutation, the tests passed without the partition map check, the upper bound of a range, the check of `usable`, the backoff and the retries up to the deadline. Wrong replies were mostly drawn for ended attempts, the default policy itself skipped unusable candidates, and the lookup test handled the timer at the deadline before the first send, so that it tested nothing.

Conclusion: wrong replies now go to attempts in progress, a policy without any check is used in half of the runs, ranges leave the part at both ends, and the lookup test handles a timer only when nothing else is pending.

--- a/tests/test_scatter.py
+++ b/tests/test_scatter.py
@@ -8,6 +8,7 @@
 import statistics
 import zlib
 
+import hypothesis
 from hypothesis import settings, stateful
 from hypothesis import strategies as st
 
@@ -42,7 +43,7 @@
     return {key for start, end in ranges for key in range(start, end)}
 
 
-def make_header(query, floor, seed):
+def make_header(query, floor, seed, policy):
     return records.Header(
         answer_id=query.answer_id,
         entry_instance="127.0.0.1:7000",
@@ -53,10 +54,17 @@
         query=query,
         floor=floor,
         seed=seed,
-        policy="LeastLoaded",
+        policy=policy,
     )
 
 
+class Blind(routing.ReplicaPolicy):
+    """Chooses any candidate, so that `Scatter` alone must exclude replicas."""
+
+    def choose(self, candidates, seed):
+        return (seed + len(candidates[0].address)) % len(candidates)
+
+
 class ScatterMachine(stateful.RuleBasedStateMachine):
     """Drives one query and compares it with sets of keys."""
 
@@ -66,17 +74,19 @@
         limit=st.sampled_from([4, 1000]),
         seed=st.integers(0, 2**32),
         cuts=st.lists(st.integers(1, 23), max_size=2),
+        policy=st.sampled_from([routing.LeastLoaded, Blind]),
         data=st.data(),
     )
-    def start(self, kind, floor, limit, seed, cuts, data):
+    def start(self, kind, floor, limit, seed, cuts, policy, data):
         self.now = 0.0
         self.data = data
         self.lookup = kind is model.QueryKind.LOOKUP
         key = 5 if self.lookup else None
         self.query = model.Query("q", "s", kind, DEADLINE, key, limit, "body")
         self.floor = floor
-        self.scatter = scatter.Scatter(self.query, floor, seed)
-        self.writer = records.RecordWriter(make_header(self.query, floor, seed))
+        self.scatter = scatter.Scatter(self.query, floor, seed, policy())
+        header = make_header(self.query, floor, seed, policy.__name__)
+        self.writer = records.RecordWriter(header)
         self.sent, self.finish, self.armed, self.restarts = {}, None, None, 0
         self.adopt(make_plan((5, 5), 1, cuts, self.lookup))
         self.deliver(attempts.Start(self.plan))
@@ -328,9 +338,13 @@
     )
     def reply_wrongly(self, data, fault):
         self.data = data
-        send = self.draw_attempt(live_only=False)
+        send = self.draw_attempt(bool(self.live) and fault != "late")
         reply = self.make_reply(send, send.ranges)
-        first = send.ranges[0]
+        first, last = send.ranges[0], send.ranges[-1]
+        outside = [
+            model.KeyRange(first.start - 1, first.end),
+            model.KeyRange(last.start, last.end + 1),
+        ]
         faults = {
             "late": {},
             "crossed": {"request_id": self.draw_attempt(False).request_id},
@@ -338,11 +352,15 @@
             "map": {"partition_map": reply.partition_map + 1},
             "index": {"index": "j" if reply.index == "i" else "i"},
             "cut": {"whole": False},
-            "outside": {"ranges": (model.KeyRange(first.start - 1, first.end),)},
+            "outside": {
+                "ranges": (model.KeyRange(*data.draw(st.sampled_from(outside))),)
+            },
             "doubled": {"ranges": (*send.ranges, first)},
         }
         wrong = reply._replace(**faults[fault])
-        if not self.is_honest(wrong, send):
+        if self.is_honest(wrong, send):
+            wrong = self.make_reply(send, wrong.ranges)
+        else:
             wrong = wrong._replace(rows=[POISON])
         self.deliver(wrong)
 
@@ -494,8 +512,9 @@
 # deadline, forgotten parts and decisions that depend on anything but the events.
 TestScatterMachine = ScatterMachine.TestCase
 TestScatterMachine.settings = settings(
-    max_examples=150,
+    max_examples=250,
     stateful_step_count=40,
+    phases=(hypothesis.Phase.generate,),
     derandomize=True,
     database=None,
     deadline=None,
@@ -676,24 +695,23 @@
     machine = scatter.Scatter(query, (1, 1), 7)
     view = Cluster(0, False, 0.0).view(plan.parts[0], 0, None, {p: 0 for p in PURPOSE})
     view = view._replace(budget_allows=True)
-    times, now = [], 0.0
+    times, now, armed = [], 0.0, None
     pending = machine.handle(now, attempts.Start(plan))
-    while pending:
-        decision = pending.pop(0)
-        match decision:
+    while not machine.finished:
+        match pending.pop(0) if pending else None:
             case attempts.Choose(_, purpose):
                 pending += machine.handle(now, view._replace(purpose=purpose))
-            case attempts.Send():
+            case attempts.Send(attempt=number):
                 times.append(now)
-                failed = attempts.Failed(
-                    decision.attempt, attempts.Cause.CONNECT_FAILED
-                )
+                failed = attempts.Failed(number, attempts.Cause.CONNECT_FAILED)
                 pending += machine.handle(now, failed)
             case attempts.WakeAt(time):
-                now = max(now, time)
-                pending += machine.handle(now, attempts.Timer())
-    assert machine.finished
+                armed = time
+            case None:
+                now = armed
+                pending = machine.handle(now, attempts.Timer())
     gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
-    assert all(0.005 * 2**n <= gap <= 0.01 * 2**n for n, gap in enumerate(gaps[:6]))
+    for n in range(6):
+        assert 0.005 * 2**n <= gaps[n] <= 0.01 * 2**n
     assert DEADLINE - times[-1] <= 0.002
     assert len(times) < 30
