Keep rows of an urgent query at a late Replan; one type for attempts

Cause: an urgent query with verified rows asks for no restart, but rows that arrived between Restart and Replan were still dropped.

`attempts.Attempt` repeated the fields of `Send` and is removed. The scatter test draws short hedge delays, so that a second hedge of one part is seen.

--- a/acacialatch/attempts.py
+++ b/acacialatch/attempts.py
@@ -219,7 +219,10 @@
 
 
 class Wait(typing.NamedTuple):
-    """Queues a part until the engine feeds another `View` for it."""
+    """Queues a part until the engine feeds another `View` for it.
+
+    That view has the purpose of the view which this decision follows.
+    """
 
     part: int
 
@@ -281,33 +284,21 @@
 Decision: typing.TypeAlias = Choose | Send | Cancel | Wait | WakeAt | Restart | Finish
 
 
-class Attempt(typing.NamedTuple):
-    """A sub-request in progress."""
-
-    number: int
-    part: int
-    address: str
-    purpose: Purpose
-    request_id: str
-    version: int
-    deadline: float
-
-
-def check_reply(reply: Reply, attempt: Attempt, part: Part) -> tuple[Cause, str] | None:
-    """Compare a reply with the attempt that it must answer.
+def check_reply(reply: Reply, send: Send, part: Part) -> tuple[Cause, str] | None:
+    """Compare a reply with the sub-request that it must answer.
 
     Returns
     -------
     tuple or None
         Cause and text of the first difference; None if the reply is verified.
     """
-    if reply.request_id != attempt.request_id:
+    if reply.request_id != send.request_id:
         return Cause.BAD_REPLY, f"request_id is {reply.request_id!r}"
     if not reply.whole:
         return Cause.BAD_REPLY, "body is cut short"
     if reply.index != part.index:
         return Cause.BAD_REPLY, f"index is {reply.index!r}"
-    if reply.version != attempt.version:
+    if reply.version != send.version:
         return Cause.VERSION_GONE, f"version is {reply.version}"
     if reply.partition_map != part.partition_map:
         return Cause.MAP_CHANGED, f"partition map is {reply.partition_map}"
--- a/acacialatch/parts.py
+++ b/acacialatch/parts.py
@@ -48,7 +48,7 @@
     pieces : list of Piece
         Verified replies with disjoint ranges.
     running : dict
-        Attempts in progress by number.
+        Sub-requests in progress by number of the attempt.
     expects : attempts.Purpose or None
         Purpose of the `View` that is awaited.
     hedged : bool
@@ -71,7 +71,7 @@
         self.number = number
         self.spec = spec
         self.pieces: list[Piece] = []
-        self.running: dict[int, attempts.Attempt] = {}
+        self.running: dict[int, attempts.Send] = {}
         self.expects: attempts.Purpose | None = None
         self.hedged = False
         self.sent = 0
--- a/acacialatch/scatter.py
+++ b/acacialatch/scatter.py
@@ -67,7 +67,7 @@
         self._parts: list[parts.Progress] = []
         self._coverage = coverage.Coverage(())
         self._rows = 0
-        self._running: dict[int, attempts.Attempt] = {}
+        self._running: dict[int, attempts.Send] = {}
         self._numbers = itertools.count(1)
         self._timers = timers.TimerQueue(self._is_wanted)
         self._armed: float | None = None
@@ -205,34 +205,24 @@
             self._lack_replica(now, part, view)
             return
         number = next(self._numbers)
-        attempt = attempts.Attempt(
-            number,
+        send = attempts.Send(
             part.number,
+            number,
             eligible[chosen].address,
             view.purpose,
             f"{self._query.answer_id}-{number}",
             self._versions[part.spec.index],
             min(self._query.deadline, now + view.attempt_timeout_s),
+            self._coverage.missing_of(part.spec.service),
         )
-        self._running[number] = part.running[number] = attempt
+        self._running[number] = part.running[number] = send
         part.sent += 1
         part.hedged = part.hedged or view.purpose is attempts.Purpose.HEDGE
-        self._timers.set(attempt.deadline, timers.TimerKind.ATTEMPT, number)
+        self._timers.set(send.deadline, timers.TimerKind.ATTEMPT, number)
         if view.hedge_delay_s is not None and not part.hedged:
             hedge_at = now + view.hedge_delay_s
             self._timers.set(hedge_at, timers.TimerKind.HEDGE, number)
-        self._decide(
-            attempts.Send(
-                part.number,
-                number,
-                attempt.address,
-                attempt.purpose,
-                attempt.request_id,
-                attempt.version,
-                attempt.deadline,
-                self._coverage.missing_of(part.spec.service),
-            )
-        )
+        self._decide(send)
 
     def _lack_replica(
         self, now: float, part: parts.Progress, view: attempts.View
@@ -254,19 +244,19 @@
     # Replies and failures.
 
     def _reply(self, now: float, reply: attempts.Reply) -> None:
-        attempt = self._running.get(reply.attempt)
-        if attempt is None:
+        send = self._running.get(reply.attempt)
+        if send is None:
             return
-        part = self._parts[attempt.part]
-        rejection = attempts.check_reply(reply, attempt, part.spec)
-        self._end(attempt)
+        part = self._parts[send.part]
+        rejection = attempts.check_reply(reply, send, part.spec)
+        self._end(send)
         if rejection is not None:
-            self._decide(attempts.Cancel(attempt.number))
-            self._note_failure(now, part, attempt, rejection[0])
+            self._decide(attempts.Cancel(send.attempt))
+            self._note_failure(now, part, send, rejection[0])
         elif self._accept(part, reply):
-            self._continue_part(now, part, attempt)
+            self._continue_part(now, part, send)
         else:
-            self._note_failure(now, part, attempt, attempts.Cause.BAD_REPLY)
+            self._note_failure(now, part, send, attempts.Cause.BAD_REPLY)
 
     def _accept(self, part: parts.Progress, reply: attempts.Reply) -> bool:
         before = sum(len(piece.rows) for piece in part.pieces)
@@ -278,7 +268,7 @@
         return True
 
     def _continue_part(
-        self, now: float, part: parts.Progress, attempt: attempts.Attempt
+        self, now: float, part: parts.Progress, send: attempts.Send
     ) -> None:
         if not self._coverage.missing_of(part.spec.service):
             for other in list(part.running.values()):
@@ -286,44 +276,44 @@
         else:
             part.reason = parts.PARTIAL_REPLY
             part.tries = 0
-            part.avoid(attempt.address, now)
+            part.avoid(send.address, now)
             self._retry(now, part)
         self._check_complete()
 
     def _failed(self, now: float, event: attempts.Failed) -> None:
-        attempt = self._running.get(event.attempt)
-        if attempt is None:
+        send = self._running.get(event.attempt)
+        if send is None:
             return
-        part = self._parts[attempt.part]
-        self._end(attempt)
+        part = self._parts[send.part]
+        self._end(send)
         if event.cause is attempts.Cause.NOT_SENT:
             part.sent -= 1
-        self._note_failure(now, part, attempt, event.cause, event.retry_after_s)
+        self._note_failure(now, part, send, event.cause, event.retry_after_s)
 
     def _note_failure(
         self,
         now: float,
         part: parts.Progress,
-        attempt: attempts.Attempt,
+        send: attempts.Send,
         cause: attempts.Cause,
         retry_after_s: float = 0.0,
     ) -> None:
         part.reason = cause.value
-        part.avoid(attempt.address, now + retry_after_s)
+        part.avoid(send.address, now + retry_after_s)
         if cause not in attempts.SNAPSHOT_CAUSES:
             self._retry(now, part)
             return
-        part.gone.add(attempt.address)
+        part.gone.add(send.address)
         if not part.running:
             self._ask(part)
 
-    def _end(self, attempt: attempts.Attempt) -> None:
-        del self._running[attempt.number]
-        del self._parts[attempt.part].running[attempt.number]
+    def _end(self, send: attempts.Send) -> None:
+        del self._running[send.attempt]
+        del self._parts[send.part].running[send.attempt]
 
-    def _cancel(self, attempt: attempts.Attempt) -> None:
-        self._end(attempt)
-        self._decide(attempts.Cancel(attempt.number))
+    def _cancel(self, send: attempts.Send) -> None:
+        self._end(send)
+        self._decide(attempts.Cancel(send.attempt))
 
     # Retries and timers.
 
@@ -368,10 +358,10 @@
             part.expects = attempts.Purpose.HEDGE
             self._decide(attempts.Choose(part.number, part.expects))
 
-    def _time_out(self, now: float, attempt: attempts.Attempt) -> None:
-        self._cancel(attempt)
-        part = self._parts[attempt.part]
-        self._note_failure(now, part, attempt, attempts.Cause.TIMEOUT)
+    def _time_out(self, now: float, send: attempts.Send) -> None:
+        self._cancel(send)
+        part = self._parts[send.part]
+        self._note_failure(now, part, send, attempts.Cause.TIMEOUT)
 
     def _arm(self) -> None:
         """Ask for a timer if the next one is earlier than the one asked for."""
@@ -394,14 +384,17 @@
             part.blocked = True
             return
         patience = min(view.hedge_delay_s or 0.0, view.attempt_timeout_s)
-        urgent_rows = self._query.kind is model.QueryKind.URGENT and self._rows > 0
         late = now + patience >= self._query.deadline
-        if self._restarts >= RESTARTS_MAX or urgent_rows or late:
+        if late or self._restarts >= RESTARTS_MAX or self._keeps_rows():
             self._stay(now, part)
             return
         part.blocked = self._replanning = True
         self._decide(attempts.Restart(f"{part.spec.service}: {part.reason}"))
 
+    def _keeps_rows(self) -> bool:
+        # An urgent query answers with its verified rows rather than drop them.
+        return self._query.kind is model.QueryKind.URGENT and self._rows > 0
+
     def _stay(self, now: float, part: parts.Progress) -> None:
         # A replica that lags behind the snapshot may have caught up later.
         part.gone.clear()
@@ -412,16 +405,16 @@
         if not self._replanning:
             return
         self._replanning = False
-        if plan is None or plans.check_successor(self._plan, plan) is not None:
-            self._lacks_version = True
+        refused = plan is None or plans.check_successor(self._plan, plan) is not None
+        self._lacks_version = refused
+        if refused or self._keeps_rows():
             for part in self._parts:
                 if part.blocked:
                     self._stay(now, part)
             return
-        self._lacks_version = False
         self._restarts += 1
-        for attempt in list(self._running.values()):
-            self._cancel(attempt)
+        for send in list(self._running.values()):
+            self._cancel(send)
         self._adopt(plan)
 
     # Answers.
@@ -444,6 +437,6 @@
         outcome = outcomes.build(
             failure, self._query.limit, self._plan.versions, self._coverage, self._parts
         )
-        for attempt in list(self._running.values()):
-            self._cancel(attempt)
+        for send in list(self._running.values()):
+            self._cancel(send)
         self._decide(attempts.Finish(outcome))
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -187,9 +187,7 @@
 def test_values_of_unknown_kind_are_refused():
     """Guards against a record with valid hashes that breaks the replay."""
     writer = records.RecordWriter(HEADER)
-    writer.add(
-        0.0, attempts.Attempt(1, 0, "a", attempts.Purpose.FIRST, "r", 1, 1.0), []
-    )
+    writer.add(0.0, attempts.Cancel(1), [])
     problem = records.read(writer.finish()).err_value
     assert (problem.line, problem.field) == (2, "event")
     assert msgspec.json.encode(problem.text)
--- a/tests/test_scatter.py
+++ b/tests/test_scatter.py
@@ -145,7 +145,7 @@
             for n in range(3)
         )
         allows = self.data.draw(st.sampled_from([True, True, True, False]))
-        delay = self.data.draw(st.sampled_from([0.05, 0.05, None]))
+        delay = self.data.draw(st.sampled_from([0.001, 0.001, 0.05, None]))
         return attempts.View(part, purpose, candidates, allows, delay, 0.6)
 
     def note(self, event):
@@ -395,11 +395,17 @@
                 self.deliver(self.make_reply(send, send.ranges))
 
     @stateful.precondition(lambda self: self.armed is not None)
-    @stateful.rule(data=st.data(), late=st.sampled_from([0.0, 0.0, 0.02, 0.7]))
-    def ring(self, data, late):
+    @stateful.rule(
+        data=st.data(),
+        late=st.sampled_from([0.0, 0.0, 0.0, 0.02, 0.7]),
+        times=st.integers(1, 3),
+    )
+    def ring(self, data, late, times):
         self.data = data
-        self.now = max(self.now, self.armed) + late
-        self.deliver(attempts.Timer())
+        for _ in range(times):
+            if self.finish is None:
+                self.now = max(self.now, self.armed) + late
+                self.deliver(attempts.Timer())
 
     @stateful.rule(data=st.data(), passed=st.sampled_from([0.0, 0.001, 0.03]))
     def ring_early(self, data, passed):
@@ -450,7 +456,10 @@
             copied = plan.parts[0]._replace(service="copy")
             plan = plan._replace(parts=(*plan.parts, copied))
         self.replanning = False
-        if fault or self.finish or self.now >= DEADLINE:
+        kept = self.query.kind is model.QueryKind.URGENT and any(
+            key % 3 for part in self.accepted for key in self.covered(part)
+        )
+        if fault or kept or self.finish or self.now >= DEADLINE:
             self.deliver(attempts.Replan(None if fault == "none" else plan))
             return
         running = set(self.live)
