Explain rejected replies and given-up attempts; test retry purposes and plans

Cause: the replay text named a given-up attempt without its reason, and the engine could not tell whether a Replan was accepted (`Scatter.plan` now says). Mutations of the retry purpose after not_sent and of the checks of a new plan were not seen by the tests.

Ruled out: a separate decision for an accepted plan; the property is enough.

--- a/acacialatch/attempts.py
+++ b/acacialatch/attempts.py
@@ -234,7 +234,11 @@
 
 
 class Restart(typing.NamedTuple):
-    """Asks for a `Replan` at newer versions; queued parts stay queued."""
+    """Asks for a `Replan` at newer versions.
+
+    A `Replan` may be refused. The engine drops queued parts of the earlier plan
+    when `Scatter.plan` has changed.
+    """
 
     reason: str
 
--- a/acacialatch/explanations.py
+++ b/acacialatch/explanations.py
@@ -36,7 +36,7 @@
 
 def describe_decisions(
     event: attempts.Event,
-    exclusions: typing.Sequence[str],
+    reasons: typing.Sequence[str],
     decisions: typing.Sequence[attempts.Decision],
 ) -> list[str]:
     """Return lines of text for the decisions that followed an event.
@@ -45,30 +45,53 @@
     ----------
     event : attempts.Event
         The event.
-    exclusions : sequence of str
-        For a `View`, why each candidate may not be sent to; empty if it may.
+    reasons : sequence of str
+        Reasons behind the event, as given by `Scatter.explain`.
     decisions : sequence of attempts.Decision
         The decisions.
     """
-    lines = [_decision(event, decision) for decision in decisions]
-    if isinstance(event, attempts.View):
-        lines += _candidates(event, exclusions, decisions)
-    if isinstance(event, attempts.Reply | attempts.Failed) and not decisions:
-        lines.append("nothing to decide")
+    lines = []
+    if isinstance(event, attempts.Reply) and reasons:
+        lines.append(f"reply not used: {reasons[0]}")
+    for decision in decisions:
+        if isinstance(decision, attempts.Cancel):
+            text = _give_up(event, reasons, decision, decisions)
+            lines.append(f"gave up attempt {decision.attempt}: {text}")
+        else:
+            lines.append(_decision(event, decision))
+    if isinstance(event, attempts.View) and reasons:
+        lines += _candidates(event, reasons, decisions)
     return lines
 
 
+def _give_up(
+    event: attempts.Event,
+    reasons: typing.Sequence[str],
+    cancel: attempts.Cancel,
+    decisions: typing.Sequence[attempts.Decision],
+) -> str:
+    if isinstance(event, attempts.Reply) and event.attempt == cancel.attempt:
+        return reasons[0] if reasons else "its reply was not used"
+    if any(isinstance(decision, attempts.Finish) for decision in decisions):
+        return "the query ended"
+    if isinstance(event, attempts.Reply):
+        return f"attempt {event.attempt} has read the rest of the part"
+    if isinstance(event, attempts.Replan):
+        return "the query restarts at a newer snapshot"
+    return "no reply in time"
+
+
 def _candidates(
     view: attempts.View,
-    exclusions: typing.Sequence[str],
+    reasons: typing.Sequence[str],
     decisions: typing.Sequence[attempts.Decision],
 ) -> list[str]:
     sent = {d.address for d in decisions if isinstance(d, attempts.Send)}
     lines = []
-    for candidate, exclusion in zip(view.candidates, exclusions, strict=True):
+    for candidate, reason in zip(view.candidates, reasons, strict=True):
         if candidate.address not in sent:
             other = "the policy preferred another" if sent else "nothing was sent"
-            text = exclusion or other
+            text = reason or other
             lines.append(f"skipped {_candidate(candidate)}: {text}")
     return lines
 
@@ -94,8 +117,6 @@
                 f"as attempt {decision.attempt} ({decision.purpose.value}), "
                 f"until {decision.deadline:.6f} s"
             )
-        case attempts.Cancel(attempt):
-            return f"gave up attempt {attempt}"
         case attempts.Wait(part):
             return f"part {part} waits for a usable replica"
         case attempts.WakeAt(time):
--- a/acacialatch/replay.py
+++ b/acacialatch/replay.py
@@ -80,12 +80,10 @@
     difference = None
     for number, step in enumerate(record.steps, 1):
         event = _restore(step.event)
-        exclusions: tuple[str, ...] = ()
-        if isinstance(event, attempts.View):
-            exclusions = query.explain(step.time, event)
+        reasons = query.explain(step.time, event)
         decisions = tuple(query.handle(step.time, event))
         lines.append(f"{step.time:.6f} s: {explanations.describe_event(event)}")
-        texts = explanations.describe_decisions(event, exclusions, decisions)
+        texts = explanations.describe_decisions(event, reasons, decisions)
         lines.extend(f"  {text}" for text in texts)
         recorded = _strip(step.decisions, _count_digest)
         replayed = _strip(decisions, len)
--- a/acacialatch/scatter.py
+++ b/acacialatch/scatter.py
@@ -100,19 +100,37 @@
         decisions, self._decisions = self._decisions, []
         return decisions
 
-    def explain(self, now: float, view: attempts.View) -> tuple[str, ...]:
-        """Return for each candidate why it may not be sent to, or an empty text.
+    @property
+    def plan(self) -> attempts.Plan:
+        """Plan in use; the engine makes views from it."""
+        return self._plan
+
+    def explain(self, now: float, event: attempts.Event) -> tuple[str, ...]:
+        """Return the reasons behind an event that is handled next.
 
         Parameters
         ----------
         now : float
-            Time of the view, in seconds.
-        view : attempts.View
-            A view that has not been handled yet.
+            Time of the event, in seconds.
+        event : attempts.Event
+            The event.
+
+        Returns
+        -------
+        tuple of str
+            For a `View`, why each candidate is not asked, or an empty text. For a
+            `Reply` that is not verified, the reason.
         """
-        if not 0 <= view.part < len(self._parts):
-            return tuple("" for _ in view.candidates)
-        return self._parts[view.part].explain(now, view)
+        if isinstance(event, attempts.View) and event.part in range(len(self._parts)):
+            return self._parts[event.part].explain(now, event)
+        if isinstance(event, attempts.Reply):
+            send = self._running.get(event.attempt)
+            if send is None:
+                return ("the attempt has ended",)
+            spec = self._parts[send.part].spec
+            difference = attempts.check_reply(event, send, spec)
+            return (difference[1],) if difference else ()
+        return ()
 
     def _dispatch(self, now: float, event: attempts.Event) -> None:
         match event:
@@ -158,10 +176,8 @@
     def _decide(self, decision: attempts.Decision) -> None:
         self._decisions.append(decision)
 
-    # Choice of replicas.
-
     def _view(self, now: float, view: attempts.View) -> None:
-        if not 0 <= view.part < len(self._parts):
+        if view.part not in range(len(self._parts)):
             return
         part = self._parts[view.part]
         if part.expects is not view.purpose:
@@ -241,8 +257,6 @@
         part.expects = view.purpose
         self._decide(attempts.Wait(part.number))
 
-    # Replies and failures.
-
     def _reply(self, now: float, reply: attempts.Reply) -> None:
         send = self._running.get(reply.attempt)
         if send is None:
@@ -315,8 +329,6 @@
         self._end(send)
         self._decide(attempts.Cancel(send.attempt))
 
-    # Retries and timers.
-
     def _retry(self, now: float, part: parts.Progress) -> None:
         if part.running:
             # The attempts in progress were asked for all that is still missing.
@@ -375,8 +387,6 @@
             self._armed = wake
             self._decide(attempts.WakeAt(wake))
 
-    # Restart at a newer snapshot.
-
     def _leave_snapshot(
         self, now: float, part: parts.Progress, view: attempts.View
     ) -> None:
@@ -417,8 +427,6 @@
             self._cancel(send)
         self._adopt(plan)
 
-    # Answers.
-
     def _check_complete(self) -> None:
         if outcomes.is_complete(self._query, self._floor, self._coverage, self._rows):
             self._finish(None)
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -82,7 +82,8 @@
         "an attempt is in progress there",
         "attempt 1 failed: shed",
         "asked for no request yet",
-        "gave up attempt 2",
+        "reply not used: no range is covered",
+        "gave up attempt 2: no range is covered",
         "answered: covered 4 of 4 keys",
     ):
         assert part in text
--- a/tests/test_scatter.py
+++ b/tests/test_scatter.py
@@ -18,6 +18,9 @@
 KINDS = tuple(model.QueryKind)
 PURPOSE = attempts.Purpose
 POISON = ["poison"]
+PLAN_FAULTS = st.sampled_from(
+    [*[""] * 4, "none", "same", "older", "revision", "lost", "doubled"]
+)
 GONE = attempts.SNAPSHOT_CAUSES
 
 
@@ -94,6 +97,7 @@
     def adopt(self, plan):
         self.plan = plan
         self.live, self.queued, self.hedged = {}, {}, set()
+        self.reached = dict.fromkeys(range(len(plan.parts)), 0)
         self.accepted = {n: [] for n in range(len(plan.parts))}
         self.last_failed, self.suspect = {}, set()
         self.replanning = False
@@ -151,6 +155,8 @@
     def note(self, event):
         """Follow an event with sets of keys."""
         if isinstance(event, attempts.Failed) and event.attempt in self.live:
+            if event.cause is attempts.Cause.NOT_SENT:
+                self.reached[self.live[event.attempt][0].part] -= 1
             self.lose(event.attempt)
             if event.cause in GONE or event.retry_after_s:
                 self.suspect.add(self.sent[event.attempt][0].address)
@@ -194,6 +200,8 @@
     def check(self, event, decision):
         assert self.finish is None
         match decision:
+            case attempts.Choose(part, purpose) if purpose is not PURPOSE.HEDGE:
+                assert (purpose is PURPOSE.RETRY) == (self.reached[part] > 0)
             case attempts.Send():
                 self.check_send(event, decision)
             case attempts.Cancel(number):
@@ -243,6 +251,7 @@
         spec = self.plan.parts[send.part]
         entry = (send, self.now, event.hedge_delay_s, spec)
         self.sent[send.attempt] = self.live[send.attempt] = entry
+        self.reached[send.part] += 1
 
     def check_outcome(self, outcome):
         covered = {n: self.covered(n) for n in self.accepted}
@@ -383,7 +392,8 @@
             if asked and not self.replanning:
                 self.deliver(attempts.Failed(asked[0], cause))
         if self.replanning and not self.finish and data.draw(st.booleans()):
-            self.feed_plan("", data.draw(st.lists(st.integers(1, 23), max_size=2)))
+            cuts = data.draw(st.lists(st.integers(1, 23), max_size=2))
+            self.feed_plan(data.draw(PLAN_FAULTS), cuts)
 
     @stateful.precondition(lambda self: self.live)
     @stateful.rule(data=st.data())
@@ -435,7 +445,7 @@
     @stateful.precondition(lambda self: self.replanning)
     @stateful.rule(
         data=st.data(),
-        fault=st.sampled_from([*[""] * 4, "none", "same", "older", "lost", "doubled"]),
+        fault=PLAN_FAULTS,
         cuts=st.lists(st.integers(1, 23), max_size=2),
     )
     def replan(self, data, fault, cuts):
@@ -450,6 +460,8 @@
             plan = plan._replace(versions=self.plan.versions)
         elif fault == "older":
             plan = plan._replace(versions=(("i", newer[0]), ("j", newer[1] - 1)))
+        elif fault == "revision":
+            plan = plan._replace(revision=0)
         elif fault == "lost":
             plan = plan._replace(parts=plan.parts[1:])
         elif fault == "doubled":
@@ -724,3 +736,22 @@
         assert 0.005 * 2**n <= gaps[n] <= 0.01 * 2**n
     assert DEADLINE - times[-1] <= 0.002
     assert len(times) < 30
+
+
+def test_unusable_plan_ends_query():
+    """Guards against a first plan that would count or lose keys wrongly."""
+    plan = make_plan((5, 5), 1, (12,))
+    first, second, third = plan.parts
+    query = model.Query("q", "s", model.QueryKind.FULL_PAGE, DEADLINE, None, 10, "")
+    for wrong in (
+        plan._replace(parts=(first, first, second)),
+        plan._replace(parts=(first, second._replace(keys=model.KeyRange(11, 24)))),
+        plan._replace(parts=(first, second._replace(partition_map=2), third)),
+        plan._replace(parts=(first._replace(keys=model.KeyRange(3, 3)),)),
+        plan._replace(versions=(("i", 5),)),
+        plan._replace(versions=(("i", 5), ("i", 6), ("j", 5))),
+    ):
+        machine = scatter.Scatter(query, (1, 1), 1)
+        (finish,) = machine.handle(0.0, attempts.Start(wrong))
+        assert finish.outcome.failure.kind is errors.ErrorKind.INTERNAL
+        assert (finish.outcome.covered, finish.outcome.total) == (0, 0)
