Test backoff, retry-after, plans and early answers that mutations hid

Unseen were: no backoff for full pages, a lost timer after retry-after, a successor plan without a newer version, an urgent answer that waits although its limit is reached, a restart too close to the deadline, and an unbounded rate after an idle time.

--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -67,6 +67,8 @@
     assert record.header == HEADER
     assert (record.dropped, record.reason) == (0, None)
     assert [step.time for step in record.steps] == [now for now, _ in make_events()]
+    body, end = data[: data.rindex(b"{")], data[data.rindex(b"{") :]
+    assert msgspec.json.decode(end) == {"sha256": hashlib.sha256(body).hexdigest()}
     outcome = record.steps[-1].decisions[-1].outcome
     digest = hashlib.sha256(b'["x",{"a":1.5}]').hexdigest()
     assert list(outcome.rows) == [2, digest]
@@ -114,7 +116,10 @@
         problem = records.read(data[:length]).err_value
         assert problem.line == data[:length].count(b"\n") + 1
         assert problem.field
-    assert records.read(data + data[-size:]).is_err()
+    problem = records.read(data + data[-size:]).err_value
+    assert problem.line in (data.count(b"\n") + 1, data.count(b"\n") + 2)
+    problem = records.read(data + b"\n").err_value
+    assert problem[:2] == (data.count(b"\n") + 1, "line")
     lines = data.splitlines(keepends=True)
     for n in range(len(lines)):
         assert records.read(b"".join(lines[:n] + lines[n + 1 :])).is_err()
@@ -196,7 +201,10 @@
 
 @settings(max_examples=100, derandomize=True, database=None, deadline=None)
 @given(
-    st.lists(st.tuples(st.floats(0, 0.7), st.integers(1, 400)), max_size=60),
+    st.lists(
+        st.tuples(st.sampled_from([0.0, 0.05, 0.15, 4.0]), st.integers(1, 900)),
+        max_size=60,
+    ),
 )
 def test_rate_limit_bounds_every_window(arrivals):
     """Guards against bursts over the rate and against uncounted losses."""
@@ -211,4 +219,4 @@
         assert sum(window) <= 1000 * 3
     assert limit.dropped_records == len(lost)
     assert limit.dropped_bytes == sum(size for _, size in lost)
-    assert records.RateLimit(5.0, 1000.0).allows(0.0, 400)
+    assert limit.allows(now + 1.0, 1000), "a rate that stays refused"
--- a/tests/test_scatter.py
+++ b/tests/test_scatter.py
@@ -9,6 +9,7 @@
 import zlib
 
 import hypothesis
+import pytest
 from hypothesis import settings, stateful
 from hypothesis import strategies as st
 
@@ -105,6 +106,9 @@
     def covered(self, part):
         return set().union(*self.accepted[part])
 
+    def count_rows(self):
+        return sum(key % 3 > 0 for n in self.accepted for key in self.covered(n))
+
     def wanted(self, part):
         return set(range(*self.plan.parts[part].keys))
 
@@ -120,11 +124,15 @@
             assert decisions == []
             return
         self.writer.add(self.now, event, decisions)
-        if not expired:
-            self.note(event)
+        progress = None if expired else self.note(event)
         for decision in decisions:
             self.check(event, decision)
         assert not expired or self.finish is not None
+        if progress is not None and not self.finish and not self.lookup:
+            busy = progress in {send.part for send, *_ in self.live.values()}
+            chosen = [d.part for d in decisions if isinstance(d, attempts.Choose)]
+            whole = self.covered(progress) == self.wanted(progress)
+            assert chosen == [] if busy or whole else [progress]
         for decision in decisions:
             if isinstance(decision, attempts.Choose):
                 self.deliver(self.draw_view(decision.part, decision.purpose))
@@ -153,7 +161,7 @@
         return attempts.View(part, purpose, candidates, allows, delay, 0.6)
 
     def note(self, event):
-        """Follow an event with sets of keys."""
+        """Follow an event with sets of keys; return the part that gains keys."""
         if isinstance(event, attempts.Failed) and event.attempt in self.live:
             if event.cause is attempts.Cause.NOT_SENT:
                 self.reached[self.live[event.attempt][0].part] -= 1
@@ -166,13 +174,15 @@
             if not self.is_honest(event, send):
                 # Such a reply may show that the replica lacks the snapshot.
                 self.suspect.add(send.address)
-                return
+                return None
             new = list_keys(event.ranges)
             old = self.accepted[send.part]
             shared = [keys for keys in old if keys & new]
             if all(keys <= new for keys in shared) and new - self.covered(send.part):
                 rest = [keys for keys in old if keys not in shared]
                 self.accepted[send.part] = [*rest, new]
+                return send.part
+        return None
 
     def lose(self, number):
         send = self.live.pop(number)[0]
@@ -215,6 +225,9 @@
             case attempts.Restart():
                 assert not self.replanning
                 assert self.restarts < scatter.RESTARTS_MAX
+                assert self.now + (event.hedge_delay_s or 0.0) < DEADLINE
+                if self.query.kind is model.QueryKind.URGENT:
+                    assert self.count_rows() == 0
                 self.replanning = True
             case attempts.Finish(outcome):
                 self.finish = outcome
@@ -468,9 +481,7 @@
             copied = plan.parts[0]._replace(service="copy")
             plan = plan._replace(parts=(*plan.parts, copied))
         self.replanning = False
-        kept = self.query.kind is model.QueryKind.URGENT and any(
-            key % 3 for part in self.accepted for key in self.covered(part)
-        )
+        kept = self.query.kind is model.QueryKind.URGENT and self.count_rows()
         if fault or kept or self.finish or self.now >= DEADLINE:
             self.deliver(attempts.Replan(None if fault == "none" else plan))
             return
@@ -497,6 +508,13 @@
     def matches_sets_of_keys(self):
         if self.finish is not None:
             return
+        covered = sum(len(self.covered(part)) for part in self.accepted)
+        total = sum(part.keys.size() for part in self.plan.parts)
+        assert covered < total, "a whole answer waits"
+        if self.query.kind is model.QueryKind.FULL_PAGE:
+            assert fractions.Fraction(covered, total) < fractions.Fraction(*self.floor)
+        elif self.query.kind is model.QueryKind.URGENT:
+            assert self.count_rows() < self.query.limit
         ended = copy.deepcopy(self.scatter).handle(DEADLINE, attempts.Timer())[-1]
         now, self.now = self.now, DEADLINE
         self.check_outcome(ended.outcome)
@@ -709,35 +727,61 @@
     assert all(run.outcome.covered == 100 for run in runs)
 
 
-def test_lookup_retries_until_deadline():
-    """Guards against a lookup that gives up early or retries without backoff."""
+def time_sends(kind, cause, retry_after_s=0.0, replicas=3):
+    """Return the times of sends if every attempt fails at once."""
     plan = make_plan((5, 5), 1, (), lookup=True)
-    query = model.Query("q", "s", model.QueryKind.LOOKUP, DEADLINE, 5, 10, "")
+    query = model.Query("q", "s", kind, DEADLINE, 5, 10, "")
     machine = scatter.Scatter(query, (1, 1), 7)
     view = Cluster(0, False, 0.0).view(plan.parts[0], 0, None, {p: 0 for p in PURPOSE})
-    view = view._replace(budget_allows=True)
+    view = view._replace(budget_allows=True, candidates=view.candidates[:replicas])
     times, now, armed = [], 0.0, None
     pending = machine.handle(now, attempts.Start(plan))
     while not machine.finished:
+        assert len(times) < 100, "the retries never stop"
         match pending.pop(0) if pending else None:
             case attempts.Choose(_, purpose):
                 pending += machine.handle(now, view._replace(purpose=purpose))
             case attempts.Send(attempt=number):
                 times.append(now)
-                failed = attempts.Failed(number, attempts.Cause.CONNECT_FAILED)
+                failed = attempts.Failed(number, cause, (), retry_after_s)
                 pending += machine.handle(now, failed)
             case attempts.WakeAt(time):
                 armed = time
             case None:
                 now = armed
                 pending = machine.handle(now, attempts.Timer())
+    return times
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_retries_until_deadline(kind):
+    """Guards against giving up early and against retries without backoff."""
+    times = time_sends(kind, attempts.Cause.CONNECT_FAILED)
     gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
-    for n in range(6):
+    if kind is not model.QueryKind.LOOKUP:
+        assert gaps[0] == 0, "the first retry, at another replica, needs no delay"
+    for n in range(kind is not model.QueryKind.LOOKUP, 6):
         assert 0.005 * 2**n <= gaps[n] <= 0.01 * 2**n
     assert DEADLINE - times[-1] <= 0.002
     assert len(times) < 30
 
 
+def test_retry_after_is_kept():
+    """Guards against asking a shedding replica too early or never again."""
+    times = time_sends(model.QueryKind.FULL_PAGE, attempts.Cause.SHED, 0.3, replicas=1)
+    gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
+    assert len(gaps) >= 2
+    assert all(0.3 <= round(gap, 9) <= 0.8 for gap in gaps)
+
+
+def test_empty_plan_is_answered():
+    """Guards against a query that waits for parts that do not exist."""
+    query = model.Query("q", "s", model.QueryKind.FULL_PAGE, DEADLINE, None, 10, "")
+    machine = scatter.Scatter(query, (1, 1), 1)
+    (finish,) = machine.handle(0.0, attempts.Start(attempts.Plan(1, (), ())))
+    assert finish.outcome[:4] == (None, (), (), ())
+
+
 def test_unusable_plan_ends_query():
     """Guards against a first plan that would count or lose keys wrongly."""
     plan = make_plan((5, 5), 1, (12,))
