--- a/tests/test_scatter.py
+++ b/tests/test_scatter.py
@@ -8,6 +8,8 @@
 import statistics
 import zlib
 
+import hypothesis
+import pytest
 from hypothesis import settings, stateful
 from hypothesis import strategies as st
 
@@ -17,6 +19,9 @@
 KINDS = tuple(model.QueryKind)
 PURPOSE = attempts.Purpose
 POISON = ["poison"]
+PLAN_FAULTS = st.sampled_from(
+    [*[""] * 4, "none", "same", "older", "revision", "lost", "doubled"]
+)
 GONE = attempts.SNAPSHOT_CAUSES
 
 
@@ -42,7 +47,7 @@
     return {key for start, end in ranges for key in range(start, end)}
 
 
-def make_header(query, floor, seed):
+def make_header(query, floor, seed, policy):
     return records.Header(
         answer_id=query.answer_id,
         entry_instance="127.0.0.1:7000",
@@ -53,10 +58,17 @@
         query=query,
         floor=floor,
         seed=seed,
-        policy="LeastLoaded",
+        policy=policy,
     )
 
 
+class Blind(routing.ReplicaPolicy):
+    """Chooses any candidate, so that `Scatter` alone must exclude replicas."""
+
+    def choose(self, candidates, seed):
+        return (seed + len(candidates[0].address)) % len(candidates)
+
+
 class ScatterMachine(stateful.RuleBasedStateMachine):
     """Drives one query and compares it with sets of keys."""
 
@@ -66,17 +78,19 @@
         limit=st.sampled_from([4, 1000]),
         seed=st.integers(0, 2**32),
         cuts=st.lists(st.integers(1, 23), max_size=2),
+        policy=st.sampled_from([routing.LeastLoaded, Blind]),
         data=st.data(),
     )
-    def start(self, kind, floor, limit, seed, cuts, data):
+    def start(self, kind, floor, limit, seed, cuts, policy, data):
         self.now = 0.0
         self.data = data
         self.lookup = kind is model.QueryKind.LOOKUP
         key = 5 if self.lookup else None
         self.query = model.Query("q", "s", kind, DEADLINE, key, limit, "body")
         self.floor = floor
-        self.scatter = scatter.Scatter(self.query, floor, seed)
-        self.writer = records.RecordWriter(make_header(self.query, floor, seed))
+        self.scatter = scatter.Scatter(self.query, floor, seed, policy())
+        header = make_header(self.query, floor, seed, policy.__name__)
+        self.writer = records.RecordWriter(header)
         self.sent, self.finish, self.armed, self.restarts = {}, None, None, 0
         self.adopt(make_plan((5, 5), 1, cuts, self.lookup))
         self.deliver(attempts.Start(self.plan))
@@ -84,6 +98,7 @@
     def adopt(self, plan):
         self.plan = plan
         self.live, self.queued, self.hedged = {}, {}, set()
+        self.reached = dict.fromkeys(range(len(plan.parts)), 0)
         self.accepted = {n: [] for n in range(len(plan.parts))}
         self.last_failed, self.suspect = {}, set()
         self.replanning = False
@@ -91,6 +106,9 @@
     def covered(self, part):
         return set().union(*self.accepted[part])
 
+    def count_rows(self):
+        return sum(key % 3 > 0 for n in self.accepted for key in self.covered(n))
+
     def wanted(self, part):
         return set(range(*self.plan.parts[part].keys))
 
@@ -106,11 +124,15 @@
             assert decisions == []
             return
         self.writer.add(self.now, event, decisions)
-        if not expired:
-            self.note(event)
+        progress = None if expired else self.note(event)
         for decision in decisions:
             self.check(event, decision)
         assert not expired or self.finish is not None
+        if progress is not None and not self.finish and not self.lookup:
+            busy = progress in {send.part for send, *_ in self.live.values()}
+            chosen = [d.part for d in decisions if isinstance(d, attempts.Choose)]
+            whole = self.covered(progress) == self.wanted(progress)
+            assert chosen == [] if busy or whole else [progress]
         for decision in decisions:
             if isinstance(decision, attempts.Choose):
                 self.deliver(self.draw_view(decision.part, decision.purpose))
@@ -135,12 +157,14 @@
             for n in range(3)
         )
         allows = self.data.draw(st.sampled_from([True, True, True, False]))
-        delay = self.data.draw(st.sampled_from([0.05, 0.05, None]))
+        delay = self.data.draw(st.sampled_from([0.001, 0.001, 0.05, None]))
         return attempts.View(part, purpose, candidates, allows, delay, 0.6)
 
     def note(self, event):
-        """Follow an event with sets of keys."""
+        """Follow an event with sets of keys; return the part that gains keys."""
         if isinstance(event, attempts.Failed) and event.attempt in self.live:
+            if event.cause is attempts.Cause.NOT_SENT:
+                self.reached[self.live[event.attempt][0].part] -= 1
             self.lose(event.attempt)
             if event.cause in GONE or event.retry_after_s:
                 self.suspect.add(self.sent[event.attempt][0].address)
@@ -150,13 +174,15 @@
             if not self.is_honest(event, send):
                 # Such a reply may show that the replica lacks the snapshot.
                 self.suspect.add(send.address)
-                return
+                return None
             new = list_keys(event.ranges)
             old = self.accepted[send.part]
             shared = [keys for keys in old if keys & new]
             if all(keys <= new for keys in shared) and new - self.covered(send.part):
                 rest = [keys for keys in old if keys not in shared]
                 self.accepted[send.part] = [*rest, new]
+                return send.part
+        return None
 
     def lose(self, number):
         send = self.live.pop(number)[0]
@@ -184,6 +210,8 @@
     def check(self, event, decision):
         assert self.finish is None
         match decision:
+            case attempts.Choose(part, purpose) if purpose is not PURPOSE.HEDGE:
+                assert (purpose is PURPOSE.RETRY) == (self.reached[part] > 0)
             case attempts.Send():
                 self.check_send(event, decision)
             case attempts.Cancel(number):
@@ -197,6 +225,9 @@
             case attempts.Restart():
                 assert not self.replanning
                 assert self.restarts < scatter.RESTARTS_MAX
+                assert self.now + (event.hedge_delay_s or 0.0) < DEADLINE
+                if self.query.kind is model.QueryKind.URGENT:
+                    assert self.count_rows() == 0
                 self.replanning = True
             case attempts.Finish(outcome):
                 self.finish = outcome
@@ -233,6 +264,7 @@
         spec = self.plan.parts[send.part]
         entry = (send, self.now, event.hedge_delay_s, spec)
         self.sent[send.attempt] = self.live[send.attempt] = entry
+        self.reached[send.part] += 1
 
     def check_outcome(self, outcome):
         covered = {n: self.covered(n) for n in self.accepted}
@@ -328,9 +360,13 @@
     )
     def reply_wrongly(self, data, fault):
         self.data = data
-        send = self.draw_attempt(live_only=False)
+        send = self.draw_attempt(bool(self.live) and fault != "late")
         reply = self.make_reply(send, send.ranges)
-        first = send.ranges[0]
+        first, last = send.ranges[0], send.ranges[-1]
+        outside = [
+            model.KeyRange(first.start - 1, first.end),
+            model.KeyRange(last.start, last.end + 1),
+        ]
         faults = {
             "late": {},
             "crossed": {"request_id": self.draw_attempt(False).request_id},
@@ -338,11 +374,15 @@
             "map": {"partition_map": reply.partition_map + 1},
             "index": {"index": "j" if reply.index == "i" else "i"},
             "cut": {"whole": False},
-            "outside": {"ranges": (model.KeyRange(first.start - 1, first.end),)},
+            "outside": {
+                "ranges": (model.KeyRange(*data.draw(st.sampled_from(outside))),)
+            },
             "doubled": {"ranges": (*send.ranges, first)},
         }
         wrong = reply._replace(**faults[fault])
-        if not self.is_honest(wrong, send):
+        if self.is_honest(wrong, send):
+            wrong = self.make_reply(send, wrong.ranges)
+        else:
             wrong = wrong._replace(rows=[POISON])
         self.deliver(wrong)
 
@@ -365,7 +405,8 @@
             if asked and not self.replanning:
                 self.deliver(attempts.Failed(asked[0], cause))
         if self.replanning and not self.finish and data.draw(st.booleans()):
-            self.feed_plan("", data.draw(st.lists(st.integers(1, 23), max_size=2)))
+            cuts = data.draw(st.lists(st.integers(1, 23), max_size=2))
+            self.feed_plan(data.draw(PLAN_FAULTS), cuts)
 
     @stateful.precondition(lambda self: self.live)
     @stateful.rule(data=st.data())
@@ -377,11 +418,17 @@
                 self.deliver(self.make_reply(send, send.ranges))
 
     @stateful.precondition(lambda self: self.armed is not None)
-    @stateful.rule(data=st.data(), late=st.sampled_from([0.0, 0.0, 0.02, 0.7]))
-    def ring(self, data, late):
+    @stateful.rule(
+        data=st.data(),
+        late=st.sampled_from([0.0, 0.0, 0.0, 0.02, 0.7]),
+        times=st.integers(1, 3),
+    )
+    def ring(self, data, late, times):
         self.data = data
-        self.now = max(self.now, self.armed) + late
-        self.deliver(attempts.Timer())
+        for _ in range(times):
+            if self.finish is None:
+                self.now = max(self.now, self.armed) + late
+                self.deliver(attempts.Timer())
 
     @stateful.rule(data=st.data(), passed=st.sampled_from([0.0, 0.001, 0.03]))
     def ring_early(self, data, passed):
@@ -411,7 +458,7 @@
     @stateful.precondition(lambda self: self.replanning)
     @stateful.rule(
         data=st.data(),
-        fault=st.sampled_from([*[""] * 4, "none", "same", "older", "lost", "doubled"]),
+        fault=PLAN_FAULTS,
         cuts=st.lists(st.integers(1, 23), max_size=2),
     )
     def replan(self, data, fault, cuts):
@@ -426,13 +473,16 @@
             plan = plan._replace(versions=self.plan.versions)
         elif fault == "older":
             plan = plan._replace(versions=(("i", newer[0]), ("j", newer[1] - 1)))
+        elif fault == "revision":
+            plan = plan._replace(revision=0)
         elif fault == "lost":
             plan = plan._replace(parts=plan.parts[1:])
         elif fault == "doubled":
             copied = plan.parts[0]._replace(service="copy")
             plan = plan._replace(parts=(*plan.parts, copied))
         self.replanning = False
-        if fault or self.finish or self.now >= DEADLINE:
+        kept = self.query.kind is model.QueryKind.URGENT and self.count_rows()
+        if fault or kept or self.finish or self.now >= DEADLINE:
             self.deliver(attempts.Replan(None if fault == "none" else plan))
             return
         running = set(self.live)
@@ -458,6 +508,13 @@
     def matches_sets_of_keys(self):
         if self.finish is not None:
             return
+        covered = sum(len(self.covered(part)) for part in self.accepted)
+        total = sum(part.keys.size() for part in self.plan.parts)
+        assert covered < total, "a whole answer waits"
+        if self.query.kind is model.QueryKind.FULL_PAGE:
+            assert fractions.Fraction(covered, total) < fractions.Fraction(*self.floor)
+        elif self.query.kind is model.QueryKind.URGENT:
+            assert self.count_rows() < self.query.limit
         ended = copy.deepcopy(self.scatter).handle(DEADLINE, attempts.Timer())[-1]
         now, self.now = self.now, DEADLINE
         self.check_outcome(ended.outcome)
@@ -494,8 +551,9 @@
 # deadline, forgotten parts and decisions that depend on anything but the events.
 TestScatterMachine = ScatterMachine.TestCase
 TestScatterMachine.settings = settings(
-    max_examples=150,
+    max_examples=250,
     stateful_step_count=40,
+    phases=(hypothesis.Phase.generate,),
     derandomize=True,
     database=None,
     deadline=None,
@@ -669,31 +727,75 @@
     assert all(run.outcome.covered == 100 for run in runs)
 
 
-def test_lookup_retries_until_deadline():
-    """Guards against a lookup that gives up early or retries without backoff."""
+def time_sends(kind, cause, retry_after_s=0.0, replicas=3):
+    """Return the times of sends if every attempt fails at once."""
     plan = make_plan((5, 5), 1, (), lookup=True)
-    query = model.Query("q", "s", model.QueryKind.LOOKUP, DEADLINE, 5, 10, "")
+    query = model.Query("q", "s", kind, DEADLINE, 5, 10, "")
     machine = scatter.Scatter(query, (1, 1), 7)
     view = Cluster(0, False, 0.0).view(plan.parts[0], 0, None, {p: 0 for p in PURPOSE})
-    view = view._replace(budget_allows=True)
-    times, now = [], 0.0
+    view = view._replace(budget_allows=True, candidates=view.candidates[:replicas])
+    times, now, armed = [], 0.0, None
     pending = machine.handle(now, attempts.Start(plan))
-    while pending:
-        decision = pending.pop(0)
-        match decision:
+    while not machine.finished:
+        assert len(times) < 100, "the retries never stop"
+        match pending.pop(0) if pending else None:
             case attempts.Choose(_, purpose):
                 pending += machine.handle(now, view._replace(purpose=purpose))
-            case attempts.Send():
+            case attempts.Send(attempt=number):
                 times.append(now)
-                failed = attempts.Failed(
-                    decision.attempt, attempts.Cause.CONNECT_FAILED
-                )
+                failed = attempts.Failed(number, cause, (), retry_after_s)
                 pending += machine.handle(now, failed)
             case attempts.WakeAt(time):
-                now = max(now, time)
-                pending += machine.handle(now, attempts.Timer())
-    assert machine.finished
+                armed = time
+            case None:
+                now = armed
+                pending = machine.handle(now, attempts.Timer())
+    return times
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_retries_until_deadline(kind):
+    """Guards against giving up early and against retries without backoff."""
+    times = time_sends(kind, attempts.Cause.CONNECT_FAILED)
     gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
-    assert all(0.005 * 2**n <= gap <= 0.01 * 2**n for n, gap in enumerate(gaps[:6]))
+    if kind is not model.QueryKind.LOOKUP:
+        assert gaps[0] == 0, "the first retry, at another replica, needs no delay"
+    for n in range(kind is not model.QueryKind.LOOKUP, 6):
+        assert 0.005 * 2**n <= gaps[n] <= 0.01 * 2**n
     assert DEADLINE - times[-1] <= 0.002
     assert len(times) < 30
+
+
+def test_retry_after_is_kept():
+    """Guards against asking a shedding replica too early or never again."""
+    times = time_sends(model.QueryKind.FULL_PAGE, attempts.Cause.SHED, 0.3, replicas=1)
+    gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
+    assert len(gaps) >= 2
+    assert all(0.3 <= round(gap, 9) <= 0.8 for gap in gaps)
+
+
+def test_empty_plan_is_answered():
+    """Guards against a query that waits for parts that do not exist."""
+    query = model.Query("q", "s", model.QueryKind.FULL_PAGE, DEADLINE, None, 10, "")
+    machine = scatter.Scatter(query, (1, 1), 1)
+    (finish,) = machine.handle(0.0, attempts.Start(attempts.Plan(1, (), ())))
+    assert finish.outcome[:4] == (None, (), (), ())
+
+
+def test_unusable_plan_ends_query():
+    """Guards against a first plan that would count or lose keys wrongly."""
+    plan = make_plan((5, 5), 1, (12,))
+    first, second, third = plan.parts
+    query = model.Query("q", "s", model.QueryKind.FULL_PAGE, DEADLINE, None, 10, "")
+    for wrong in (
+        plan._replace(parts=(first, first, second)),
+        plan._replace(parts=(first, second._replace(keys=model.KeyRange(11, 24)))),
+        plan._replace(parts=(first, second._replace(partition_map=2), third)),
+        plan._replace(parts=(first._replace(keys=model.KeyRange(3, 3)),)),
+        plan._replace(versions=(("i", 5),)),
+        plan._replace(versions=(("i", 5), ("i", 6), ("j", 5))),
+    ):
+        machine = scatter.Scatter(query, (1, 1), 1)
+        (finish,) = machine.handle(0.0, attempts.Start(wrong))
+        assert finish.outcome.failure.kind is errors.ErrorKind.INTERNAL
+        assert (finish.outcome.covered, finish.outcome.total) == (0, 0)
