--- a/acacialatch/control.py
+++ b/acacialatch/control.py
@@ -461,14 +461,22 @@
     def _probe(
         self, now: float, service: model.Service, address: str
     ) -> list[events.Action]:
-        send_id = self._dispatcher.begin(now, service, address, is_request=False)
-        if send_id is None:
+        begun = self._dispatcher.begin(now, service, address, is_request=False)
+        if begun is None:
             return []
+        send_id = begun.send_id
         self._probes[send_id] = address
         headers = (("x-request-id", f"probe-{send_id}"),)
         return [
             events.SendToServer(
-                send_id, address, "GET", "/status", headers, b"", PROBE_TIMEOUT_S
+                send_id,
+                address,
+                "GET",
+                "/status",
+                headers,
+                b"",
+                PROBE_TIMEOUT_S,
+                may_connect=begun.may_connect,
             ),
             events.CountMetric("probe.sent"),
         ]
--- a/acacialatch/dispatch.py
+++ b/acacialatch/dispatch.py
@@ -28,9 +28,18 @@
 
 SHED_STATUS = 503
 
+IDLE_TRUST_S = 3.0
+"""An idle connection counts for this time; the client closes it after 4 s."""
+
 WORK_URGENCY = 0
-WARM_UP_URGENCY = 1
-PROBE_URGENCY = 1
+
+CONNECTED_URGENCY = 1
+"""Warm-up over an open connection costs one permit a send, so it comes first."""
+
+WARM_UP_URGENCY = 2
+PROBE_URGENCY = 2
+WARM_UP_PERMITS = 2
+"""Permits asked for to warm a server: one send on a new connection, or two sends."""
 
 
 class Identity(typing.NamedTuple):
@@ -62,6 +71,13 @@
     urgency: int
 
 
+class Begun(typing.NamedTuple):
+    """A send that may happen now, and whether it may set up a connection."""
+
+    send_id: int
+    may_connect: bool
+
+
 class Sent(typing.NamedTuple):
     """A send in progress.
 
@@ -142,7 +158,7 @@
             not reason,
             reason,
             replica.zone == self.identity.zone,
-            self._idle.get(address, 0) > 0,
+            self._is_connected(now, address),
         )
 
     def find_obstacle(self, now: float, service: model.Service, address: str) -> str:
@@ -166,7 +182,7 @@
         service: model.Service,
         address: str,
         is_request: bool = True,
-    ) -> int | None:
+    ) -> Begun | None:
         """Account for a send, if it may happen now.
 
         Parameters
@@ -182,25 +198,27 @@
 
         Returns
         -------
-        int or None
-            Identifier of the send; None if it must not happen.
+        Begun or None
+            The send; None if it must not happen.
         """
         if is_request:
             if self.find_obstacle(now, service, address):
                 return None
         elif not self.is_current(now):
             return None
-        if self.table.needs_permit(now, address) and not self._take_permits(
-            now, address
-        ):
-            self._add_demand(address, PROBE_URGENCY)
-            return None
+        may_connect = True
+        if self.table.needs_permit(now, address):
+            # The number of idle connections may be out of date, since they expire.
+            may_connect = self._needed_permits(now, address) > 1
+            if not self._take_permits(now, address):
+                self._add_demand(now, address, PROBE_URGENCY)
+                return None
         self.table.observe_send(now, address)
         if self._idle.get(address, 0) > 0:
             self._idle[address] -= 1
         send_id = next(self._numbers)
         self._sent[send_id] = Sent(address, service, now, is_request)
-        return send_id
+        return Begun(send_id, may_connect)
 
     def end_with_reply(
         self, now: float, event: events.ServerReplied
@@ -278,7 +296,9 @@
         service = self._services.get(address)
         return 0 if service is None else self.shares.connection_share(service.name)
 
-    def note_demand(self, candidates: typing.Sequence[routing.Candidate]) -> None:
+    def note_demand(
+        self, now: float, candidates: typing.Sequence[routing.Candidate]
+    ) -> None:
         """Ask for permits that would make a candidate usable.
 
         While no candidate is usable, work waits; permits for one of them, not the
@@ -293,19 +313,23 @@
         ]
         if any(candidate.usable for candidate in candidates):
             for address in cold:
-                self._add_demand(address, WARM_UP_URGENCY)
+                is_connected = self._is_connected(now, address)
+                urgency = CONNECTED_URGENCY if is_connected else WARM_UP_URGENCY
+                self._add_demand(now, address, urgency)
         elif cold:
-            self._add_demand(min(cold, key=self._rank), WORK_URGENCY)
+            self._add_demand(now, min(cold, key=self._rank), WORK_URGENCY)
 
     def take_demand(self) -> dict[str, Demand]:
         """Return and reset the permits that sends lacked, by server."""
         demand, self.demand = self.demand, {}
         return demand
 
-    def _add_demand(self, address: str, urgency: int) -> None:
-        # Permits for one send at a time, so that entry instances take turns.
+    def _add_demand(self, now: float, address: str, urgency: int) -> None:
         former = self.demand.get(address, Demand(0, urgency))
-        needed = self._needed_permits(address)
+        needed = WARM_UP_PERMITS
+        if urgency == WORK_URGENCY:
+            # Work that waits asks for one send, so that entry instances take turns.
+            needed = self._needed_permits(now, address)
         self.demand[address] = Demand(needed, min(urgency, former.urgency))
 
     def _rank(self, address: str) -> bytes:
@@ -325,14 +349,20 @@
             return False
         return self.table.is_probe_due(now, address)
 
-    def _needed_permits(self, address: str) -> int:
+    def _is_connected(self, now: float, address: str) -> bool:
+        """Return whether an idle connection is open and not about to expire."""
+        heard = self.table.last_heard(address)
+        is_fresh = heard is not None and now - heard < IDLE_TRUST_S
+        return is_fresh and self._idle.get(address, 0) > 0
+
+    def _needed_permits(self, now: float, address: str) -> int:
         # Connection set-up is load on a cold server, too.
-        return 1 if self._idle.get(address, 0) > 0 else 2
+        return 1 if self._is_connected(now, address) else 2
 
     def _has_permits(self, now: float, address: str) -> bool:
         incarnation = self.table.incarnation(address)
         held = self.shares.count_held(now, address, incarnation)
-        return held >= self._needed_permits(address)
+        return held >= self._needed_permits(now, address)
 
     def _take_permits(self, now: float, address: str) -> bool:
         if not self._has_permits(now, address):
@@ -340,7 +370,7 @@
         incarnation = self.table.incarnation(address)
         return all(
             self.shares.take(now, address, incarnation)
-            for _ in range(self._needed_permits(address))
+            for _ in range(self._needed_permits(now, address))
         )
 
 
--- a/acacialatch/events.py
+++ b/acacialatch/events.py
@@ -235,6 +235,9 @@
     needs_proved : bool
         Use only a new connection or one proved in the last second, and ask
         `Engine.allow_first_byte` directly before the first byte.
+    may_connect : bool
+        Whether a connection may be set up. A set-up is load on a cold server, for
+        which a permit may be lacking.
     """
 
     send_id: int
@@ -245,6 +248,7 @@
     body: bytes
     timeout_s: float
     needs_proved: bool = False
+    may_connect: bool = True
 
 
 class CancelSend(typing.NamedTuple):
--- a/acacialatch/httpclient.py
+++ b/acacialatch/httpclient.py
@@ -37,6 +37,8 @@
         Longest time for the whole exchange, in seconds.
     needs_proved : bool
         Use only a new connection or one proved in the last `PROVED_FOR_S`.
+    may_connect : bool
+        Whether a new connection may be set up.
     """
 
     address: str
@@ -46,6 +48,7 @@
     body: bytes
     timeout_s: float
     needs_proved: bool = False
+    may_connect: bool = True
 
 
 class Reply(typing.NamedTuple):
@@ -197,6 +200,8 @@
         now = trio.current_time()
         if idle and (not call.needs_proved or now - idle[-1].proved_at <= PROVED_FOR_S):
             return idle.pop()
+        if not call.may_connect:
+            return events.SendCause.NO_CONNECTION
         if self._open[call.address] >= self._limit(call.address):
             if not idle:
                 return events.SendCause.NO_CONNECTION
--- a/acacialatch/queries.py
+++ b/acacialatch/queries.py
@@ -32,6 +32,16 @@
 ATTEMPT_TIMEOUT_FACTOR = 10.0
 """An attempt is given up after this many hedge delays."""
 
+RETRY_TRICKLE_S = 0.1
+"""Time between retries of one service while its throttle allows none, in seconds.
+
+Without it, a service that only has lookups would never be retried after an outage,
+since nothing would refill the throttle.
+"""
+
+CONFLICT_STATUS = 409
+"""A server without the snapshot is not overloaded, so this is no failure."""
+
 RETRY_DELAY_S = 0.25
 """Time after which parts that wait without a usable replica look again."""
 
@@ -111,6 +121,7 @@
         self._timers: list[tuple[float, str]] = []
         self._hedges = budgets.TokenBucket()
         self._retries: dict[str, budgets.RetryThrottle] = {}
+        self._trickled: dict[str, float] = {}
         self._actions: list[events.Action] = []
         self._next_look = float("inf")
 
@@ -170,7 +181,7 @@
         throttle = self._throttle(sent.service)
         if event.status == 200:
             throttle.note_success()
-        else:
+        elif event.status != CONFLICT_STATUS:
             throttle.note_failure()
         self._feed_sent(now, sent, _read_reply(sent, event))
         self._grant(now, sent.service)
@@ -340,22 +351,30 @@
             self._dispatcher.make_candidate(now, service, replica)
             for replica in service.replicas
         )
-        self._dispatcher.note_demand(candidates)
+        self._dispatcher.note_demand(now, candidates)
         delay_s = self._dispatcher.table.hedge_delay(service.name)
         return attempts.View(
             number,
             purpose,
             candidates,
-            self._allows(service.name, purpose),
+            self._allows(now, service.name, purpose),
             delay_s if len(candidates) > 1 else None,
             max(ATTEMPT_TIMEOUT_MIN_S, ATTEMPT_TIMEOUT_FACTOR * delay_s),
         )
 
-    def _allows(self, service: str, purpose: attempts.Purpose) -> bool:
+    def _allows(self, now: float, service: str, purpose: attempts.Purpose) -> bool:
         if purpose is attempts.Purpose.HEDGE:
             return self._hedges.can_take()
         if purpose is attempts.Purpose.RETRY:
-            return self._throttle(service).allows_retry()
+            return self._allows_retry(now, service)
+        return True
+
+    def _allows_retry(self, now: float, service: str) -> bool:
+        if self._throttle(service).allows_retry():
+            return True
+        if now - self._trickled.get(service, float("-inf")) < RETRY_TRICKLE_S:
+            return False
+        self._trickled[service] = now
         return True
 
     def _send(
@@ -365,20 +384,21 @@
         part = active.plan.parts[send.part]
         service = active.configuration.services[part.service]
         # The state may have changed since the view, for example the permit is spent.
-        send_id = self._dispatcher.begin(now, service, send.address)
-        if send_id is None:
+        begun = self._dispatcher.begin(now, service, send.address)
+        if begun is None:
             return attempts.Failed(send.attempt, attempts.Cause.NOT_SENT)
         if send.purpose is attempts.Purpose.FIRST:
             self._hedges.earn()
         elif send.purpose is attempts.Purpose.HEDGE:
             self._hedges.take()
+        send_id = begun.send_id
         active.sends[send.attempt] = send_id
         if send.deadline < active.query.deadline:
             active.timeouts[send.attempt] = send.deadline - now
         self._sent[send_id] = _Sent(
             active.query.answer_id, send.attempt, part.service, part.index
         )
-        self._actions.append(_make_send(now, send_id, send, part, active.query))
+        self._actions.append(_make_send(now, begun, send, part, active.query))
         self._actions.append(events.CountMetric(f"subrequest.{send.purpose.value}"))
         return None
 
@@ -494,7 +514,7 @@
 
 def _make_send(
     now: float,
-    send_id: int,
+    begun: dispatch.Begun,
     send: attempts.Send,
     part: attempts.Part,
     query: model.Query,
@@ -517,13 +537,14 @@
         "body": query.body,
     }
     return events.SendToServer(
-        send_id,
+        begun.send_id,
         send.address,
         "POST",
         "/query",
         headers,
         bodies.encode(body),
         timeout_s,
+        may_connect=begun.may_connect,
     )
 
 
--- a/acacialatch/runner.py
+++ b/acacialatch/runner.py
@@ -149,6 +149,7 @@
             send.body,
             send.timeout_s,
             send.needs_proved,
+            send.may_connect,
         )
 
         def ask(proved_at: float) -> bool:
--- a/acacialatch/submissions.py
+++ b/acacialatch/submissions.py
@@ -186,16 +186,17 @@
         """Start a send; returns what the ledger decides when it must not happen."""
         arrived = self._arrived[send.caller]
         service = self._find_leaf(arrived)
-        send_id = None
+        begun = None
         if service is not None:
-            send_id = self._dispatcher.begin(now, service, send.address)
-        if send_id is None:
+            begun = self._dispatcher.begin(now, service, send.address)
+        if begun is None:
             view = self._make_view(now, arrived)
             return self._ledger.note_lost(now, send.request_id, view)
         self._texts[send.request_id] = arrived
+        send_id = begun.send_id
         self._sent[send_id] = _Sent(send.request_id, send.caller)
         self._send_ids[send.request_id] = send_id
-        actions.append(_make_send(now, send_id, send, arrived))
+        actions.append(_make_send(now, begun, send, arrived))
         actions.append(events.CountMetric("request.sent"))
         return []
 
@@ -240,7 +241,7 @@
             self._dispatcher.make_candidate(now, service, replica)
             for replica in service.replicas
         ]
-        self._dispatcher.note_demand(candidates)
+        self._dispatcher.note_demand(now, candidates)
         usable = [candidate for candidate in candidates if candidate.usable]
         usable.sort(
             key=lambda candidate: (
@@ -268,7 +269,10 @@
 
 
 def _make_send(
-    now: float, send_id: int, send: requestdata.Send, arrived: events.RequestArrived
+    now: float,
+    begun: dispatch.Begun,
+    send: requestdata.Send,
+    arrived: events.RequestArrived,
 ) -> events.SendToServer:
     remaining_s = max(0.0, arrived.deadline - now)
     headers = (
@@ -279,7 +283,7 @@
     )
     body = bodies.encode({"key": arrived.key, "body": arrived.body})
     return events.SendToServer(
-        send_id,
+        begun.send_id,
         send.address,
         "POST",
         "/request",
@@ -287,4 +291,5 @@
         body,
         remaining_s + LATE_REPLY_S,
         True,
+        begun.may_connect,
     )
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -140,6 +140,8 @@
             call.needs_proved and now - idle[-1].proved_at > httpclient.PROVED_FOR_S
         ):
             return idle.pop()
+        if not call.may_connect:
+            return events.SendCause.NO_CONNECTION
         if self._open[call.address] >= self._limit(call.address):
             if not idle:
                 return events.SendCause.NO_CONNECTION
@@ -296,6 +298,45 @@
     return result.Err(failure)
 
 
+class PausableRunner(runner.Runner):
+    """Runner that can be stopped like a process by SIGSTOP.
+
+    Events that arrive during the pause wait in order, as they would in socket
+    buffers, and are handled on resumption.
+    """
+
+    def __init__(self, core: engine.Engine, interfaces: runner.Interfaces):
+        super().__init__(core, interfaces)
+        self._backlog: list[events.Event] = []
+        self._resumed: trio.Event | None = None
+
+    def pause(self) -> None:
+        """Stop handling events."""
+        self._resumed = trio.Event()
+
+    def resume(self) -> None:
+        """Handle the events that arrived during the pause, then go on."""
+        assert self._resumed is not None
+        self._resumed.set()
+        self._resumed = None
+        backlog, self._backlog = self._backlog, []
+        for event in backlog:
+            self.submit(event)
+
+    def submit(self, event: events.Event) -> None:
+        """Feed an event to the engine, or keep it during a pause."""
+        if self._resumed is not None:
+            self._backlog.append(event)
+        else:
+            super().submit(event)
+
+    async def exchange(self, digest: messages.Digest) -> messages.Digest:
+        """Answer a digest after the pause, if any."""
+        if self._resumed is not None:
+            await self._resumed.wait()
+        return await super().exchange(digest)
+
+
 class Entry:
     """One entry instance of a fleet."""
 
@@ -305,7 +346,7 @@
         self.core = core
         self.client = client
         self.output = outputs.MemoryOutput()
-        self.runner: runner.Runner
+        self.runner: PausableRunner
         self.scope = trio.CancelScope()
 
     @property
@@ -362,8 +403,20 @@
         self._by_address: dict[str, Entry] = {}
         self._cuts: set[frozenset[str]] = set()
 
-    async def start(self, name: str, zone: str) -> Entry:
-        """Start an entry instance; one of the same name must have ended."""
+    async def start(
+        self, name: str, zone: str, source: FakePlatform | None = None
+    ) -> Entry:
+        """Start an entry instance; one of the same name must have ended.
+
+        Parameters
+        ----------
+        name : str
+            Name that ends in a dash and a number from 1 to 8.
+        zone : str
+            Availability zone.
+        source : FakePlatform, optional
+            Configuration service that it reads; the fleet's one by default.
+        """
         number = int(name.rsplit("-", 1)[1])
         known = tuple(
             f"127.0.0.1:{7900 + other}" for other in range(1, 9) if other != number
@@ -384,12 +437,12 @@
         entry = Entry(name, zone, core, client)
         interfaces = runner.Interfaces(
             client,
-            self.platform,
+            source or self.platform,
             self.platform,
             lambda address: FakeLink(self, identity.peer_address, address),
             entry.output,
         )
-        entry.runner = runner.Runner(core, interfaces)
+        entry.runner = PausableRunner(core, interfaces)
         self.entries[name] = self._by_address[identity.peer_address] = entry
         await self._nursery.start(self._run, entry)
         return entry
