--- a/acacialatch/model.py
+++ b/acacialatch/model.py
@@ -215,3 +215,61 @@
     SILENT = "silent"
     DEAD = "dead"
     UNLISTED = "unlisted"
+
+
+class InstanceRole(enum.Enum):
+    """What an instance of the platform's list is."""
+
+    ENTRY = "entry"
+    SERVER = "server"
+
+
+class InstanceState(enum.Enum):
+    """State of an instance in the platform's list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class ListedInstance(typing.NamedTuple):
+    """One instance of the platform's list, which lags behind the real state.
+
+    Attributes
+    ----------
+    name : str
+        Name of the instance.
+    role : InstanceRole
+        Entry instance or backend server.
+    zone : str
+        Availability zone.
+    address : str
+        IP address and port for callers, or for queries of a backend server.
+    peer_address : str
+        IP address and port for peers; empty for a backend server.
+    state : InstanceState
+        Live or leaving.
+    """
+
+    name: str
+    role: InstanceRole
+    zone: str
+    address: str
+    peer_address: str
+    state: InstanceState
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of an address such as `"127.0.0.1:7001"`.
+
+    Raises
+    ------
+    ValueError
+        If the address has no numeric port.
+    """
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def join_address(host: str, port: int) -> str:
+    """Return the address of a host and port."""
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- a/acacialatch/peers.py
+++ b/acacialatch/peers.py
@@ -19,7 +19,7 @@
 import trio
 import trio_asyncio
 
-from acacialatch import errors, messages, wire
+from acacialatch import errors, messages, model, wire
 
 EXCHANGE_PATH = "/acacialatch.Peer/Exchange"
 FETCH_PATH = "/acacialatch.Peer/FetchConfiguration"
@@ -140,7 +140,7 @@
         host, port = listener.getsockname()[:2]
         server = await trio_asyncio.aio_as_trio(self._start)(listener)
         try:
-            task_status.started(wire.join_address(host, port))
+            task_status.started(model.join_address(host, port))
             await trio.sleep_forever()
         finally:
             with trio.move_on_after(CLOSE_TIMEOUT_S) as scope:
@@ -282,7 +282,7 @@
         return self._line
 
     async def _make_channel(self) -> grpclib.client.Channel:
-        host, port = wire.split_address(self._address)
+        host, port = model.split_address(self._address)
         return grpclib.client.Channel(
             host, port, codec=wire.Codec(), config=wire.make_limits()
         )
--- /dev/null
+++ b/acacialatch/sources.py
@@ -0,0 +1,228 @@
+"""Clients of the configuration service and the instance list of the platform."""
+
+import abc
+import typing
+
+import h11
+import msgspec
+import result
+import trio
+
+from acacialatch import errors, messages, model
+
+# The platform answers in milliseconds, and an instance that hears nothing for 3 s is
+# isolated. A failed read must leave time for another within that period.
+ANSWER_TIMEOUT_S = 1.0
+WAIT_MAX_S = 30.0
+LIST_MAX_BYTES = messages.TEXT_MAX_BYTES
+REVISION_MAX = (1 << 63) - 1
+_CHUNK_BYTES = 64 << 10
+_REVISION_DIGITS_MAX = 19
+
+_Value = typing.TypeVar("_Value")
+_SourceResult: typing.TypeAlias = result.Result[_Value, errors.SourceFailure]
+
+
+class ConfigurationSource(abc.ABC):
+    """Where operators publish configuration texts."""
+
+    @abc.abstractmethod
+    async def read(
+        self, after: int, wait_s: float
+    ) -> _SourceResult[messages.ConfigurationText | None]:
+        """Read the configuration text.
+
+        Parameters
+        ----------
+        after : int
+            Revision that the caller has.
+        wait_s : float
+            Longest time to wait for a newer one, in seconds.
+
+        Returns
+        -------
+        Result
+            The text, or None if the service knows of none newer. A stale service may
+            answer with an older revision than one it gave before.
+        """
+
+
+class InstanceSource(abc.ABC):
+    """Where the platform lists its instances."""
+
+    @abc.abstractmethod
+    async def list(self) -> _SourceResult[tuple[model.ListedInstance, ...]]:
+        """Return all listed instances."""
+
+
+class HttpConfigurationSource(ConfigurationSource):
+    """Configuration service by HTTP/1.1; docs/PLATFORM.md describes the protocol.
+
+    Parameters
+    ----------
+    address : str
+        IP address and port.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+
+    async def read(
+        self, after: int, wait_s: float
+    ) -> _SourceResult[messages.ConfigurationText | None]:
+        """Read the configuration text; see `ConfigurationSource`."""
+        wait_s = min(max(wait_s, 0.0), WAIT_MAX_S)
+        answer = await _get(
+            self._address,
+            f"/config?after={after}&wait_s={wait_s:.3f}",
+            messages.TEXT_MAX_BYTES,
+            wait_s + ANSWER_TIMEOUT_S,
+        )
+        return answer.and_then(_decode_configuration)
+
+
+class HttpInstanceSource(InstanceSource):
+    """Instance list by HTTP/1.1; docs/PLATFORM.md describes the protocol.
+
+    Parameters
+    ----------
+    address : str
+        IP address and port.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+
+    async def list(self) -> _SourceResult[tuple[model.ListedInstance, ...]]:
+        """Return all listed instances; see `InstanceSource`."""
+        answer = await _get(
+            self._address, "/instances", LIST_MAX_BYTES, ANSWER_TIMEOUT_S
+        )
+        return answer.and_then(_decode_instances)
+
+
+class Listed(msgspec.Struct):
+    """JSON form of `model.ListedInstance`."""
+
+    name: str
+    role: model.InstanceRole
+    zone: str
+    address: str
+    peer_address: str
+    state: model.InstanceState
+
+
+class _Answer(typing.NamedTuple):
+    status: int
+    revision: str
+    body: bytes
+
+
+class _RefusalError(Exception):
+    """An answer that cannot be used."""
+
+    def __init__(self, kind: errors.SourceErrorKind, detail: str) -> None:
+        super().__init__(detail)
+        self.failure = errors.SourceFailure(kind, detail)
+
+
+def _decode_configuration(
+    answer: _Answer,
+) -> _SourceResult[messages.ConfigurationText | None]:
+    if answer.status == 204:
+        return result.Ok(None)
+    if answer.status != 200:
+        return _fail(errors.SourceErrorKind.STATUS, str(answer.status))
+    digits = answer.revision
+    if not (digits.isascii() and digits.isdigit()):
+        return _fail(errors.SourceErrorKind.MALFORMED, "x-revision is not a number")
+    if len(digits) > _REVISION_DIGITS_MAX or int(digits) > REVISION_MAX:
+        return _fail(errors.SourceErrorKind.MALFORMED, "x-revision is too large")
+    text = messages.ConfigurationText(revision=int(digits), text=answer.body)
+    return result.Ok(text)
+
+
+def _decode_instances(
+    answer: _Answer,
+) -> _SourceResult[tuple[model.ListedInstance, ...]]:
+    if answer.status != 200:
+        return _fail(errors.SourceErrorKind.STATUS, str(answer.status))
+    try:
+        listed = msgspec.json.decode(answer.body, type=list[Listed])
+    except msgspec.MsgspecError as error:
+        return _fail(errors.SourceErrorKind.MALFORMED, str(error))
+    return result.Ok(
+        tuple(model.ListedInstance(*msgspec.structs.astuple(item)) for item in listed)
+    )
+
+
+def _fail(
+    kind: errors.SourceErrorKind, detail: str
+) -> result.Err[errors.SourceFailure]:
+    return result.Err(errors.SourceFailure(kind, detail))
+
+
+async def _get(
+    address: str, target: str, limit: int, timeout_s: float
+) -> _SourceResult[_Answer]:
+    """Make one request on a connection of its own.
+
+    An open connection may stop delivering data without an error, so none is kept.
+    """
+    with trio.move_on_after(timeout_s):
+        try:
+            stream = await trio.open_tcp_stream(*model.split_address(address))
+            async with stream:
+                return result.Ok(await _exchange(stream, address, target, limit))
+        except _RefusalError as error:
+            return result.Err(error.failure)
+        except h11.RemoteProtocolError as error:
+            return _fail(errors.SourceErrorKind.MALFORMED, str(error))
+        except (OSError, trio.BrokenResourceError) as error:
+            return _fail(errors.SourceErrorKind.UNREACHABLE, str(error))
+    return _fail(errors.SourceErrorKind.TIMEOUT, f"no answer in {timeout_s:.3f} s")
+
+
+async def _exchange(
+    stream: trio.SocketStream, address: str, target: str, limit: int
+) -> _Answer:
+    connection = h11.Connection(h11.CLIENT)
+    headers = [("host", address), ("connection", "close")]
+    request = h11.Request(method="GET", target=target, headers=headers)
+    await stream.send_all(
+        connection.send(request) + connection.send(h11.EndOfMessage())
+    )
+    status, revision, body = 0, "", bytearray()
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            data = await stream.receive_some(_CHUNK_BYTES)
+            if not data:
+                detail = "the connection closed before the end of the answer"
+                raise _RefusalError(errors.SourceErrorKind.UNREACHABLE, detail)
+            connection.receive_data(data)
+        elif isinstance(event, h11.Response):
+            status, revision = event.status_code, _find_revision(event.headers)
+            if status != 200:
+                return _Answer(status, "", b"")
+            _check_framing(event)
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > limit:
+                detail = f"the body is above {limit} bytes"
+                raise _RefusalError(errors.SourceErrorKind.TOO_LARGE, detail)
+        elif isinstance(event, h11.EndOfMessage):
+            return _Answer(status, revision, bytes(body))
+
+
+def _check_framing(response: h11.Response) -> None:
+    """Refuse a body that ends with the connection: it may have been cut off."""
+    names = {name for name, _ in response.headers}
+    if not names & {b"content-length", b"transfer-encoding"}:
+        detail = "the length of the body is not stated"
+        raise _RefusalError(errors.SourceErrorKind.MALFORMED, detail)
+
+
+def _find_revision(headers: typing.Iterable[tuple[bytes, bytes]]) -> str:
+    values = [value for name, value in headers if name == b"x-revision"]
+    return values[0].decode("latin-1") if len(values) == 1 else ""
--- a/acacialatch/wire.py
+++ b/acacialatch/wire.py
@@ -24,7 +24,7 @@
 import msgspec
 import trio_asyncio
 
-from acacialatch import messages
+from acacialatch import messages, model
 
 READ_TIMEOUT_S = 5.0
 # Bytes that one connection may hold unread in this process.
@@ -263,23 +263,6 @@
     )
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return the host and the port of an address such as `"127.0.0.1:7001"`.
-
-    Raises
-    ------
-    ValueError
-        If the address has no numeric port.
-    """
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
-def join_address(host: str, port: int) -> str:
-    """Return the address of a host and port."""
-    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
-
-
 def bind(address: str) -> socket.socket:
     """Return a non-blocking TCP socket bound to an address.
 
@@ -288,7 +271,7 @@
     OSError
         If the address cannot be bound.
     """
-    host, port = split_address(address)
+    host, port = model.split_address(address)
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     listener = socket.socket(family, socket.SOCK_STREAM)
     try:
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around acacialatch, for tests and demonstrations."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -13,7 +13,7 @@
 import trio
 import trio_asyncio
 
-from acacialatch import errors, messages, peers, wire
+from acacialatch import errors, messages, model, peers, wire
 
 NOT_SENT = errors.LinkErrorKind.NOT_SENT
 REFUSED = errors.LinkErrorKind.REFUSED
@@ -174,7 +174,7 @@
             for _ in range(4):
                 filler = stack.enter_context(wire.bind("127.0.0.1:0"))
                 filler.connect_ex(listener.getsockname())
-            address = wire.join_address(*listener.getsockname())
+            address = model.join_address(*listener.getsockname())
             answer = await make_client(address).forward(make_request())
             assert answer.unwrap_err() == (NOT_SENT, "connect timed out")
 
@@ -295,7 +295,7 @@
         answered = trio.Event()
         nursery.start_soon(forward)
         await server._handlers.entered.wait()
-        host, port = wire.split_address(address)
+        host, port = model.split_address(address)
         for garbage in GARBAGE:
             stream = await trio.open_tcp_stream(host, port)
             await stream.send_all(garbage)
