--- a/acacialatch/runner.py
+++ b/acacialatch/runner.py
@@ -18,6 +18,7 @@
     requestdata,
     revisions,
     sources,
+    wire,
 )
 
 TIMER_GRAIN_S = 0.001
@@ -48,7 +49,7 @@
     output: outputs.Output
 
 
-class Runner(peers.PeerHandlers):
+class Runner(wire.PeerHandlers):
     """Runs an engine: timers, exchanges and calls of peers.
 
     Parameters
