--- a/acacialatch/cli.py
+++ b/acacialatch/cli.py
@@ -77,7 +77,7 @@
 
 
 async def _run_daemon(chosen: settings.Settings) -> None:
-    with outputs.open_outputs(chosen) as output:
+    with outputs.open_output(chosen) as output:
         await daemon.Daemon(chosen, output).run()
 
 
@@ -100,9 +100,22 @@
         problem = read.err_value
         sys.exit(f"{path}: line {problem.line}, {problem.field}: {problem.text}")
     comparison = replay.replay(read.unwrap())
-    print("\n".join(comparison.text))
-    if not comparison.is_same:
-        sys.exit(f"{path}: {comparison.difference}")
+    print("\n".join(comparison.lines))
+    if not comparison.same:
+        sys.exit(f"{path}: {_describe_difference(comparison)}")
+    if not comparison.complete:
+        sys.exit(f"{path}: the record is incomplete; decisions agree as far as it goes")
+    print(f"{path}: the same decisions")
+
+
+def _describe_difference(comparison: replay.Comparison) -> str:
+    difference = comparison.difference
+    if difference is None:
+        return "the decisions differ"
+    return (
+        f"step {difference.step} differs: recorded {difference.recorded}, "
+        f"replayed {difference.replayed}"
+    )
 
 
 def _read(path: str) -> bytes:
--- a/acacialatch/control.py
+++ b/acacialatch/control.py
@@ -175,7 +175,7 @@
         self._next_read = now + delay_s
         text = f"service did not answer: {event.detail}"
         log = [events.WriteLog("config:", text)] if self._failures == 1 else []
-        return [*log, events.CountMetric("config.read_failed")]
+        return [*log, events.CountMetric("source_failures")]
 
     def _apply(self, now: float) -> list[events.Action]:
         configuration = self._store.configuration
@@ -242,15 +242,16 @@
                 item.zone,
                 item.address,
                 item.peer_address,
-                item.state == "leaving",
+                item.state is model.InstanceState.LEAVING,
             )
             for item in event.instances
-            if item.role == "entry"
+            if item.role is model.InstanceRole.ENTRY
         ]
         leaving = {
             item.address
             for item in event.instances
-            if item.role == "server" and item.state == "leaving"
+            if item.role is model.InstanceRole.SERVER
+            and item.state is model.InstanceState.LEAVING
         }
         actions = _note_member_changes(self._members.update_list(now, listed))
         changes = self._table.set_listed_leaving(now, leaving)
@@ -260,7 +261,7 @@
         """Take that a read of the instance list failed."""
         self._is_listing = False
         self._schedule_list(now)
-        return [events.CountMetric("instances.read_failed")]
+        return [events.CountMetric("source_failures")]
 
     def answer_digest(
         self, now: float, event: events.DigestAsked
@@ -284,7 +285,7 @@
     ) -> list[events.Action]:
         """Take that a peer did not answer."""
         self._exchanging.discard(event.peer_address)
-        return [events.CountMetric("peer.failed")]
+        return [events.CountMetric("peer_failures")]
 
     def _take_digest(
         self, now: float, digest: messages.Digest, asked_at: float
@@ -329,7 +330,7 @@
         try:
             _, received = msgspec.msgpack.decode(digest.facts, type=_Facts)
         except msgspec.MsgspecError:
-            return [events.CountMetric("peer.malformed")]
+            return [events.CountMetric("peer_refused")]
         changes = self._table.merge(now, digest.incarnation, received)
         return dispatch.note_changes(changes)
 
@@ -478,7 +479,7 @@
                 PROBE_TIMEOUT_S,
                 may_connect=begun.may_connect,
             ),
-            events.CountMetric("probe.sent"),
+            events.CountMetric("probes"),
         ]
 
 
@@ -504,8 +505,9 @@
             show(change.after),
             f"{change.cause.value} from {change.source}",
         ),
-        events.CountMetric(f"config.{change.cause.value}"),
     ]
+    if change.cause is revisions.Cause.REFUSED:
+        actions.append(events.CountMetric("configuration_refused"))
     offered = show(change.offered) if change.offered else show(change.after)
     text = f"revision {offered} {change.cause.value}, source {change.source}"
     actions.append(events.WriteLog("config:", text))
--- a/acacialatch/daemon.py
+++ b/acacialatch/daemon.py
@@ -38,11 +38,11 @@
     ----------
     chosen : settings.Settings
         Checked settings.
-    output : outputs.Output
+    output : outputs.StandardOutput
         Log, audit trail, metrics and explanation records.
     """
 
-    def __init__(self, chosen: settings.Settings, output: outputs.Output):
+    def __init__(self, chosen: settings.Settings, output: outputs.StandardOutput):
         self._settings = chosen
         self._output = output
         identity = engine.Identity(
@@ -60,8 +60,8 @@
         chance = random.Random(secrets.randbits(64))
         interfaces = runner.Interfaces(
             httpclient.PooledClient(self._engine.connection_share),
-            sources.HttpConfigurationSource(chosen.configuration_service),
-            sources.HttpInstanceSource(chosen.instance_list),
+            sources.HttpConfigurationSource(*chosen.configuration_service),
+            sources.HttpInstanceSource(*chosen.instance_list),
             lambda address: peers.PeerClient(address, chance),
             output,
         )
@@ -89,11 +89,10 @@
             accepting = trio.CancelScope()
             nursery.start_soon(self._accept, listener, accepting, nursery)
             text = f"{self._settings.name} serves {self._settings.caller_address}"
-            self._output.log("daemon:", text)
+            self._output.log("process:", text)
             task_status.started()
             await self._wait_for_signals(accepting)
-            self._output.log("daemon:", "stopped")
-            await self._output.flush()
+            self._output.log("process:", "stopped")
             nursery.cancel_scope.cancel()
 
     # Signals and shutdown.
@@ -104,7 +103,7 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._drain, accepting, nursery.cancel_scope)
                 await received.__anext__()
-                self._output.log("daemon:", "second signal, stopping at once")
+                self._output.log("process:", "second signal, stopping at once")
                 await self._stop_at_once()
                 nursery.cancel_scope.cancel()
 
@@ -142,7 +141,7 @@
         self._report_text(f"request failed: {error!r}")
 
     def _report_text(self, text: str) -> None:
-        self._output.log("daemon:", text)
+        self._output.log("process:", text)
 
 
 def _refuse(kind: str) -> httpserver.Response:
--- a/acacialatch/engine.py
+++ b/acacialatch/engine.py
@@ -23,6 +23,11 @@
     submissions,
 )
 
+GAUGE_PERIOD_S = 1.0
+
+SERVICE_AGE_SHOWN_MAX_S = 1e9
+"""Shown while no read of the service is known, since JSON has no infinity."""
+
 ENTRIES_MAX = 4
 """Addresses named to one caller."""
 
@@ -115,6 +120,7 @@
             chance.getrandbits(32),
         )
         self._next_tick = now
+        self._next_gauges = now
         self._is_leaving = False
         self._refuses = False
 
@@ -215,7 +221,20 @@
 
     def _tick(self, now: float) -> list[events.Action]:
         self._next_tick = now + control.TICK_S
-        return self._control.tick(now)
+        actions = self._control.tick(now)
+        if now >= self._next_gauges:
+            self._next_gauges = now + GAUGE_PERIOD_S
+            actions += self._measure(now)
+        return actions
+
+    def _measure(self, now: float) -> list[events.Action]:
+        service_age_s = min(self._store.service_age(now), SERVICE_AGE_SHOWN_MAX_S)
+        return [
+            events.SetMetric("revision", max(0, self._store.revision)),
+            events.SetMetric("service_age", service_age_s),
+            events.SetMetric("peers", len(self._members.list_incarnations(now)) - 1),
+            *self._queries.measure(),
+        ]
 
     # Queries and sends.
 
@@ -296,7 +315,7 @@
             events.NoteChange(
                 f"entry {self.identity.name}", "serving", "leaving", "operator"
             ),
-            events.WriteLog("daemon:", "leaving"),
+            events.WriteLog("process:", "leaving"),
             *self._control.tick(now),
         ]
 
@@ -360,7 +379,7 @@
             "sha256": self._store.digest,
             "zones_out": sorted(configuration.zones_out) if configuration else [],
             "current": self._dispatcher.is_current(now),
-            "service_age_s": min(self._store.service_age(now), 1e9),
+            "service_age_s": min(self._store.service_age(now), SERVICE_AGE_SHOWN_MAX_S),
             "entries": self._members.list_names(),
             "servers": counts,
             "lease_groups": self._owner.list_owned(now),
--- a/acacialatch/events.py
+++ b/acacialatch/events.py
@@ -173,7 +173,7 @@
 class InstancesListed(typing.NamedTuple):
     """The platform gave its list of instances."""
 
-    instances: tuple[typing.Any, ...]
+    instances: tuple[model.ListedInstance, ...]
 
 
 class ListFailed(typing.NamedTuple):
@@ -317,12 +317,19 @@
 
 
 class CountMetric(typing.NamedTuple):
-    """Adds to a counter."""
+    """Adds to a counter; the names are those of `metrics.METRICS`."""
 
     name: str
     value: int = 1
 
 
+class SetMetric(typing.NamedTuple):
+    """Sets a gauge."""
+
+    name: str
+    value: float
+
+
 class TimeMetric(typing.NamedTuple):
     """Adds a duration in seconds to a timer."""
 
@@ -402,6 +409,7 @@
     | NoteChange
     | WriteLog
     | CountMetric
+    | SetMetric
     | TimeMetric
     | ExchangeDigest
     | AnswerDigest
--- a/acacialatch/outputs.py
+++ b/acacialatch/outputs.py
@@ -2,8 +2,15 @@
 
 import abc
 import contextlib
+import os
+import sys
+import typing
 
-from acacialatch import events, settings
+import trio
+
+from acacialatch import audit, events, logs, metrics, records, settings
+
+_OPEN_FLAGS = os.O_WRONLY | os.O_CREAT | os.O_APPEND
 
 
 class Output(abc.ABC):
@@ -11,17 +18,11 @@
 
     @abc.abstractmethod
     def write(self, now: float, action: events.Action) -> None:
-        """Write one of `WriteRecord`, `NoteChange`, `WriteLog` or a metric."""
+        """Write a `WriteRecord`, `NoteChange`, `WriteLog` or a metric."""
 
     @abc.abstractmethod
     def log(self, prefix: str, text: str) -> None:
-        """Write a log line."""
-
-    async def run(self) -> None:
-        """Write buffered output until cancelled."""
-
-    async def flush(self) -> None:
-        """Write what is buffered, for a bounded time."""
+        """Write a log line; `prefix` is a value of `logs.Part`."""
 
 
 class MemoryOutput(Output):
@@ -40,7 +41,104 @@
         self.lines.append(f"{prefix} {text}")
 
 
+class _NoMetrics(metrics.Metrics):
+    """Drops all values, for settings without a statsd address."""
+
+    def _take(self, name: str, kind: metrics.Kind, value: float) -> None:
+        del name, kind, value
+
+
+class StandardOutput(Output):
+    """Writes to the log, to the audit trail and to statsd.
+
+    Parameters
+    ----------
+    log : logs.Log
+        Log, which also takes audit trail and records.
+    meter : metrics.Metrics
+        Metrics.
+    trail : audit.AuditSink
+        Audit trail.
+    limit : records.RateLimit
+        Rate bound of explanation records.
+    """
+
+    def __init__(
+        self,
+        log: logs.Log,
+        meter: metrics.Metrics,
+        trail: audit.AuditSink,
+        limit: records.RateLimit,
+    ):
+        self._log = log
+        self._meter = meter
+        self._trail = trail
+        self._limit = limit
+
+    def write(self, now: float, action: events.Action) -> None:
+        """Write an action; see `Output`."""
+        match action:
+            case events.WriteRecord():
+                self._write_record(now, action)
+            case events.NoteChange():
+                self._trail.record(audit.Change(*action, now))
+                if action.subject.startswith("server "):
+                    self._meter.count("server_changes")
+            case events.WriteLog():
+                self.log(action.prefix, action.text)
+            case events.CountMetric():
+                self._meter.count(action.name, action.value)
+            case events.SetMetric():
+                self._meter.set(action.name, action.value)
+            case events.TimeMetric():
+                self._meter.time(action.name, action.value_s)
+
+    def log(self, prefix: str, text: str) -> None:
+        """Write a log line; see `Output`."""
+        logs.write(logs.Part(prefix), text)
+
+    async def run(self) -> None:
+        """Write buffered output until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._log.run)
+            if isinstance(self._meter, metrics.StatsdMetrics):
+                nursery.start_soon(self._meter.run)
+
+    def _write_record(self, now: float, action: events.WriteRecord) -> None:
+        if self._limit.allows(now, len(action.data)):
+            text = action.data.decode()
+            logs.write(
+                logs.Part.RECORD,
+                "Answer recorded.",
+                answer_id=action.answer_id,
+                record=text,
+            )
+
+
+@contextlib.contextmanager
+def open_output(chosen: settings.Settings) -> typing.Iterator[StandardOutput]:
+    """Open the outputs that the settings name.
+
+    Raises
+    ------
+    OSError
+        The log file cannot be opened or the statsd address cannot be used.
+    """
+    meter: metrics.Metrics = _NoMetrics()
+    if chosen.statsd_address is not None:
+        meter = metrics.StatsdMetrics(chosen.statsd_address)
+    limit = records.RateLimit(chosen.record_rate_per_s, chosen.record_bytes_per_s)
+    with _open_log(chosen.log_path) as descriptor:
+        yield StandardOutput(logs.Log(descriptor), meter, audit.LogAuditSink(), limit)
+
+
 @contextlib.contextmanager
-def open_outputs(chosen: settings.Settings):
-    """TODO."""
-    yield MemoryOutput()
+def _open_log(path: str) -> typing.Iterator[int]:
+    if path == settings.STANDARD_ERROR:
+        yield sys.stderr.fileno()
+        return
+    descriptor = os.open(path, _OPEN_FLAGS, 0o644)
+    try:
+        yield descriptor
+    finally:
+        os.close(descriptor)
--- a/acacialatch/queries.py
+++ b/acacialatch/queries.py
@@ -55,17 +55,26 @@
 }
 
 
+_METRICS = {
+    attempts.Purpose.FIRST: "sub_requests",
+    attempts.Purpose.HEDGE: "hedges",
+    attempts.Purpose.RETRY: "retries",
+}
+
+
 class _Active:
     """A query in progress."""
 
     def __init__(
         self,
+        now: float,
         query: model.Query,
         configuration: model.Configuration,
         floor: tuple[int, int],
         seed: int,
         policy: routing.ReplicaPolicy,
     ):
+        self.started = now
         self.query = query
         self.configuration = configuration
         self.floor = floor
@@ -125,6 +134,14 @@
         self._actions: list[events.Action] = []
         self._next_look = float("inf")
 
+    def measure(self) -> list[events.Action]:
+        """Return gauges of the parts that wait and of those in progress."""
+        waiting = sum(len(queue) for queue in self._queues.values())
+        return [
+            events.SetMetric("waiting", waiting),
+            events.SetMetric("in_flight", len(self._sent)),
+        ]
+
     def count(self) -> int:
         """Return the number of queries in progress."""
         return len(self._active) + len(self._unplanned)
@@ -148,7 +165,12 @@
         """Start a query, or answer it with the reason for the refusal."""
         refusal = self._find_refusal(now)
         if refusal is not None:
-            return [answer_failure(query, self._store.revision, refusal)]
+            return [
+                answer_failure(query, self._store.revision, refusal),
+                events.CountMetric("queries"),
+                events.CountMetric("queries_failed"),
+            ]
+        self._actions.append(events.CountMetric("queries"))
         self._unplanned[query.answer_id] = query
         heapq.heappush(self._timers, (query.deadline, query.answer_id))
         self._plan_query(now, query)
@@ -243,7 +265,7 @@
             self._schedule_look(now)
             return
         del self._unplanned[query.answer_id]
-        active = self._activate(query, configuration)
+        active = self._activate(now, query, configuration)
         active.plan = plan
         self._feed(now, active, attempts.Start(plan))
 
@@ -264,12 +286,12 @@
         return attempts.Plan(self._store.revision, parts, versions)
 
     def _activate(
-        self, query: model.Query, configuration: model.Configuration
+        self, now: float, query: model.Query, configuration: model.Configuration
     ) -> _Active:
         floor = configuration.kinds[query.kind].floor
         # The seed depends on the query alone, so a record can repeat it.
         seed = random.Random(f"{self._seed} {query.answer_id}").getrandbits(32)
-        active = _Active(query, configuration, floor, seed, self._policy)
+        active = _Active(now, query, configuration, floor, seed, self._policy)
         active.writer = self._open_record(active)
         self._active[query.answer_id] = active
         return active
@@ -399,7 +421,7 @@
             active.query.answer_id, send.attempt, part.service, part.index
         )
         self._actions.append(_make_send(now, begun, send, part, active.query))
-        self._actions.append(events.CountMetric(f"subrequest.{send.purpose.value}"))
+        self._actions.append(events.CountMetric(_METRICS[send.purpose]))
         return None
 
     def _cancel(self, now: float, active: _Active, attempt: int) -> None:
@@ -432,7 +454,7 @@
         pushed = queue.push(now, item, active.query.kind, active.query.deadline)
         if pushed.is_err():
             # The part stays missing; the query says so at its deadline.
-            self._actions.append(events.CountMetric("queue.refused"))
+            self._actions.append(events.CountMetric("refused"))
         self._schedule_look(now)
 
     def _grant(self, now: float, service: str) -> None:
@@ -471,6 +493,11 @@
         revision = 0 if active.plan is None else active.plan.revision
         answer_id = active.query.answer_id
         self._actions.append(events.AnswerQuery(answer_id, revision, outcome))
+        if outcome.failure is not None:
+            self._actions.append(events.CountMetric("queries_failed"))
+        elif outcome.covered < outcome.total:
+            self._actions.append(events.CountMetric("queries_partial"))
+        self._actions.append(events.TimeMetric("query_time", now - active.started))
         self._close(now, active)
 
     def _close(self, now: float, active: _Active) -> None:
--- a/acacialatch/runner.py
+++ b/acacialatch/runner.py
@@ -18,7 +18,6 @@
     requestdata,
     revisions,
     sources,
-    wire,
 )
 
 TIMER_GRAIN_S = 0.001
@@ -49,7 +48,7 @@
     output: outputs.Output
 
 
-class Runner(wire.PeerHandlers):
+class Runner(peers.PeerHandlers):
     """Runs an engine: timers, exchanges and calls of peers.
 
     Parameters
--- a/acacialatch/sources.py
+++ b/acacialatch/sources.py
@@ -62,10 +62,13 @@
     ----------
     address : str
         IP address and port.
+    path : str
+        Path of the resource.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, path: str = "/config") -> None:
         self._address = address
+        self._path = path
 
     async def read(
         self, after: int, wait_s: float
@@ -74,7 +77,7 @@
         wait_s = min(max(wait_s, 0.0), WAIT_MAX_S)
         answer = await _get(
             self._address,
-            f"/config?after={after}&wait_s={wait_s:.3f}",
+            f"{self._path}?after={max(0, after)}&wait_s={wait_s:.3f}",
             messages.TEXT_MAX_BYTES,
             wait_s + ANSWER_TIMEOUT_S,
         )
@@ -88,16 +91,17 @@
     ----------
     address : str
         IP address and port.
+    path : str
+        Path of the resource.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, path: str = "/instances") -> None:
         self._address = address
+        self._path = path
 
     async def list(self) -> _SourceResult[tuple[model.ListedInstance, ...]]:
         """Return all listed instances; see `InstanceSource`."""
-        answer = await _get(
-            self._address, "/instances", LIST_MAX_BYTES, ANSWER_TIMEOUT_S
-        )
+        answer = await _get(self._address, self._path, LIST_MAX_BYTES, ANSWER_TIMEOUT_S)
         return answer.and_then(_decode_instances)
 
 
--- a/acacialatch/submissions.py
+++ b/acacialatch/submissions.py
@@ -75,7 +75,8 @@
             arrived.hops > 0,
         )
         view = self._make_view(now, arrived)
-        return self._carry_out(now, self._ledger.begin(now, request, view))
+        actions = self._carry_out(now, self._ledger.begin(now, request, view))
+        return [events.CountMetric("requests"), *actions]
 
     def abandon(self, now: float, call_id: str) -> list[events.Action]:
         """Take that the caller of a request closed its connection."""
@@ -176,6 +177,8 @@
                 case requestdata.Answer():
                     self._arrived.pop(action.caller, None)
                     actions.append(events.AnswerRequest(action.caller, action.outcome))
+                    if _is_unknown(action.outcome):
+                        actions.append(events.CountMetric("requests_unknown"))
                 case requestdata.Close():
                     actions += self._close(now, action.request_id)
         return actions
@@ -197,7 +200,6 @@
         self._sent[send_id] = _Sent(send.request_id, send.caller)
         self._send_ids[send.request_id] = send_id
         actions.append(_make_send(now, begun, send, arrived))
-        actions.append(events.CountMetric("request.sent"))
         return []
 
     def _forward(self, now: float, forward: requestdata.Forward) -> events.Action:
@@ -268,6 +270,11 @@
         return configuration.services[parts[0].service]
 
 
+def _is_unknown(outcome: requestdata.Outcome) -> bool:
+    unknown = errors.ErrorKind.OUTCOME_UNKNOWN
+    return isinstance(outcome, errors.Failure) and outcome.kind is unknown
+
+
 def _make_send(
     now: float,
     begun: dispatch.Begun,
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -212,7 +212,7 @@
         self.revision = 1
         self.text = text
         self.is_down = False
-        self.instances: tuple[sources.ListedInstance, ...] = ()
+        self.instances: tuple[model.ListedInstance, ...] = ()
         self.reads = 0
         self._changed = trio.Event()
 
@@ -243,7 +243,7 @@
 
     async def list(
         self,
-    ) -> result.Result[tuple[sources.ListedInstance, ...], typing.Any]:
+    ) -> result.Result[tuple[model.ListedInstance, ...], typing.Any]:
         """Return the instances; see `sources.InstanceSource`."""
         await trio.sleep(0.002)
         if self.is_down:
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration with stand-ins and several entry instances."""
