Check the replica at the send and strengthen the ledger tests

Cause: a replica may become unusable (zone taken out, leaving) while its connection is made; note_sent gave permission all the same. It now takes another replica if the engine no longer offers the chosen one.

The fleet test missed the last check before the send, a caller that leaves after the send and unverified refusals in its fixed examples; focused tests were added for them.

--- a/acacialatch/outcomes.py
+++ b/acacialatch/outcomes.py
@@ -114,9 +114,16 @@
 class Forward(typing.NamedTuple):
     """Forward the request of `caller` to the entry instance `issuer`.
 
-    The key is not verified yet, so that `issuer` may be any text of its alphabet;
-    only known peers may be contacted. The deadline is in seconds on this process's
-    clock; a peer must be given the time that is left instead.
+    Attributes
+    ----------
+    caller : str
+        Caller whose request is forwarded.
+    issuer : str
+        Identifier of the issuer. The key is not verified yet, so that this may be
+        any text of the alphabet; only known peers may be contacted.
+    deadline : float
+        Time by which the answer must leave, in seconds on the clock of this
+        process; the peer must be given the time that is left instead.
     """
 
     caller: str
@@ -125,14 +132,28 @@
 
 
 class Answer(typing.NamedTuple):
-    """Answer `caller` with a reply or a failure."""
+    """Answer `caller` with a reply or a failure.
+
+    Attributes
+    ----------
+    caller : str
+        Caller to answer; it is no longer waiting.
+    outcome : Outcome
+        Reply of a backend server, or a failure.
+    """
 
     caller: str
     outcome: Outcome
 
 
 class Close(typing.NamedTuple):
-    """Give up the attempt `request_id` and close its connection."""
+    """Give up an attempt and close its connection.
+
+    Attributes
+    ----------
+    request_id : str
+        Identifier of the attempt; nothing is to be done if it has ended already.
+    """
 
     request_id: str
 
--- a/acacialatch/requests.py
+++ b/acacialatch/requests.py
@@ -169,7 +169,8 @@
         proved_at : float
             Time of the last exchange on the connection or of its set-up, in seconds.
         view : outcomes.View
-            State at this moment.
+            State at this moment, with the replica of the attempt among the usable
+            ones unless it has become unusable since, for example with its zone.
 
         Returns
         -------
@@ -183,9 +184,11 @@
         failure = self._find_obstacle(now, run, view)
         if failure is not None:
             return result.Err(self._close(run, failure) + self.expire(now))
-        if runs.is_stale(now, proved_at):
+        is_usable = run.is_offered(view)
+        if not is_usable or runs.is_stale(now, proved_at):
             self._end_attempt(run)
-            run.tried.discard(run.address)
+            if is_usable:
+                run.tried.discard(run.address)
             actions = self._try_next(now, run, view) + self.expire(now)
             return result.Err([outcomes.Close(request_id), *actions])
         run.stage = runs.Stage.SENT
--- a/acacialatch/runs.py
+++ b/acacialatch/runs.py
@@ -64,6 +64,10 @@
         """Return whether no server can run the request unless it is sent anew."""
         return self.stage is Stage.CONNECTING
 
+    def is_offered(self, view: outcomes.View) -> bool:
+        """Return whether the replica of the current attempt is still usable."""
+        return any(option.address == self.address for option in view.replicas)
+
     def start_attempt(self, now: float, view: outcomes.View) -> outcomes.Send | None:
         """Choose the next replica, None if there is none or after the last attempt.
 
@@ -89,5 +93,13 @@
 
 
 def is_stale(now: float, proved_at: float) -> bool:
-    """Return whether a connection last proved at `proved_at` must not be used."""
+    """Return whether a connection must not be used.
+
+    Parameters
+    ----------
+    now : float
+        Time on the monotonic clock, in seconds.
+    proved_at : float
+        Time of the last exchange on the connection or of its set-up, in seconds.
+    """
     return now - proved_at > CONNECTION_PROOF_S
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -128,8 +128,8 @@
         key, body, origin = node.waiting.pop(caller)
         if origin is not None:
             index, incarnation, peer_caller = origin
-            content = (peer_caller, outcome, False)
-            self.net.append(Message("answer", index, incarnation, key, body, content))
+            place = ("answer", index, incarnation, key, body)
+            self.net.append(Message(*place, (peer_caller, outcome, False)))
             return
         if isinstance(outcome, outcomes.Reply):
             whole = outcome.body.startswith(f"{key} {body.decode()}.".encode())
@@ -137,20 +137,16 @@
             self.check("answers", outcome.is_complete, "an answer is cut short")
             self.check("answers", key in self.runs, "an answer without a run")
             return
-        state = errors.ANSWERS[outcome.kind].run_state
-        if state is errors.RunState.NOT_RUN:
+        if errors.ANSWERS[outcome.kind].run_state is errors.RunState.NOT_RUN:
             self.denied.add(key)
 
-    # Rules
-
     @hypothesis.stateful.rule(index=INDEX)
     def get_key(self, index):
         node = self.nodes[index % 3]
         if not node.is_paused:
-            issued = node.ledger.issue_key(self.clock(node))
-            if isinstance(issued, result.Ok):
-                self.keys.append(issued.ok_value)
-                self.expires_at[issued.ok_value] = self.now + keys.KEY_LIFETIME_S
+            key = node.ledger.issue_key(self.clock(node)).unwrap()
+            self.keys.append(key)
+            self.expires_at[key] = self.now + keys.KEY_LIFETIME_S
 
     @hypothesis.stateful.rule(seed=INDEX, steps=strategies.integers(1, 30))
     def work(self, seed, steps):
@@ -195,8 +191,6 @@
                 assert not node.waiting, "a caller was not answered at the shutdown"
             self.nodes[node.index] = self.start(node.index)
 
-    # Steps of callers, links and servers
-
     def call(self, rng):
         """Send a request with one of the latest keys to one or more nodes."""
         key = rng.choice(self.keys[-3:])
@@ -252,9 +246,8 @@
     def serve(self, message, event):
         """Let a server run the request, fail without a trace, or refuse it."""
         status = {"refuse": 503, "fail": 500}.get(event, 200)
-        body = f"{message.key} {message.body.decode()}.".encode()
-        if event == "enlarge":
-            body += b"x" * REPLY_BYTES
+        padding = "x" * (REPLY_BYTES if event == "enlarge" else 0)
+        body = f"{message.key} {message.body.decode()}.{padding}".encode()
         if event not in ("refuse", "fail"):
             self.runs[message.key] += 1
         reply = outcomes.Reply(message.content, status, body, event != "truncate")
@@ -275,9 +268,8 @@
         if (has_left and rng.random() < 0.5) or node.is_paused:
             self.net.append(message)
         if not node.is_paused:
-            table = node.ledger.forwards
-            failed = table.note_failed(self.clock(node), origin[2], has_left)
-            self.perform(node, failed)
+            failed = node.ledger.forwards.note_failed
+            self.perform(node, failed(self.clock(node), origin[2], has_left))
 
     def cross(self, rng):
         """Let two replies change places."""
@@ -328,14 +320,12 @@
 
     def teardown(self):
         """Run what is under way, let all time pass and look for lost callers."""
-        for message in self.net:
-            self.runs[message.key] += message.kind == "run"
+        self.runs.update(item.key for item in self.net if item.kind == "run")
         self.net.clear()
         self.now += 10_000.0
         for node in self.nodes:
             self.perform(node, node.ledger.expire(self.clock(node)))
             assert not node.waiting, "a caller was never answered"
-        self.runs = +self.runs
         self.check_answers()
 
 
@@ -437,10 +427,8 @@
     request_id = desk.send(0.0)
     assert desk.begin(0.0) == []
     lost = desk.ledger.note_lost(1.0, request_id, CURRENT)
-    assert [(a.caller, a.outcome.kind) for a in lost] == [
-        ("c1", KIND.OUTCOME_UNKNOWN),
-        ("c2", KIND.OUTCOME_UNKNOWN),
-    ]
+    assert [answer.caller for answer in lost] == ["c1", "c2"]
+    assert {answer.outcome.kind for answer in lost} == {KIND.OUTCOME_UNKNOWN}
     other = outcomes.Reply("other", 200, b"other")
     assert desk.ledger.note_reply(2.0, request_id, other)
     assert desk.ask(3.0).kind is KIND.OUTCOME_UNKNOWN
@@ -484,13 +472,15 @@
     assert desk.ask(0.0) == reply
 
 
-def test_stale_connections_are_given_up():
-    """Guards against endless attempts when no connection is ever fresh."""
+def test_unfit_connections_are_not_used():
+    """Guards against new work for a zone taken out, and against endless attempts."""
     desk = Desk()
-    action = desk.begin(0.0)[0]
+    action, proved_at = desk.begin(0.0)[0], 0.0
+    view = CURRENT._replace(replicas=CURRENT.replicas[1:])
     for _ in range(runs.ATTEMPTS_MAX):
-        sent = desk.ledger.note_sent(0.0, action.request_id, -5.0, CURRENT)
-        action = sent.err_value[1]
+        sent = desk.ledger.note_sent(0.0, action.request_id, proved_at, view)
+        action, proved_at = sent.err_value[1], -5.0
+        assert getattr(action, "address", ADDRESSES[1]) == ADDRESSES[1]
     assert action.outcome.kind is KIND.NOT_RUN
 
 
@@ -520,6 +510,35 @@
     assert desk.ledger.note_sent(10.0, close.request_id, 10.0, CURRENT).is_err()
 
 
+@pytest.mark.parametrize(
+    ("now", "deadline", "is_current", "kind"),
+    [
+        (5.0, 10.0, False, KIND.NOT_CURRENT),
+        (10.0, 10.0, True, KIND.NOT_RUN),
+        (600.0, 700.0, True, KIND.KEY_EXPIRED),
+    ],
+)
+def test_last_check_before_the_send(now, deadline, is_current, kind):
+    """Guards against a send after a pause during which no timer ran."""
+    desk = Desk()
+    request_id = desk.begin(0.0, deadline=deadline)[0].request_id
+    view = CURRENT._replace(is_current=is_current)
+    sent = desk.ledger.note_sent(now, request_id, now, view)
+    assert sent.err_value[0].outcome.kind is kind
+
+
+def test_caller_that_leaves():
+    """Guards against an unneeded send, and against "not run" of a sent request."""
+    desk = Desk()
+    request_id = desk.begin(0.0)[0].request_id
+    assert desk.ledger.drop_caller(0.0, "c1") == [outcomes.Close(request_id)]
+    assert desk.ask(0.0).kind is KIND.NOT_RUN
+    desk = Desk()
+    desk.send(0.0)
+    assert desk.ledger.drop_caller(0.0, "c1") == []
+    assert desk.begin(0.0) == []
+
+
 def test_key_that_the_engine_refuses_stays_refused():
     """Guards against a run by a copy that arrives after "not run" was said."""
     desk = Desk()
@@ -559,11 +578,8 @@
     assert desk.ask(0.0, key=key, is_forwarded=True).kind is KIND.OUTCOME_UNKNOWN
     assert desk.begin(0.0, key=key)[0].issuer == "entry1"
     table = desk.ledger.forwards
-    assert [type(table.note_failed(1.0, "c2", False)[0]) for _ in range(3)] == [
-        outcomes.Forward,
-        outcomes.Forward,
-        outcomes.Answer,
-    ]
+    tries = [type(table.note_failed(1.0, "c2", False)[0]) for _ in range(3)]
+    assert tries == [outcomes.Forward, outcomes.Forward, outcomes.Answer]
     refused = errors.Failure(KIND.NOT_CURRENT)
     desk.begin(1.0, key=key)
     assert table.note_answered(1.0, "c3", key, refused)[0].outcome == refused
