--- a/acacialatch/forwards.py
+++ b/acacialatch/forwards.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from acacialatch import callers, keys, outcomes
+from acacialatch import callers, keys, requestdata
 
 FORWARD_ATTEMPTS_MAX = 3
 
@@ -39,15 +39,15 @@
         return caller in self._callers
 
     def begin(
-        self, now: float, request: outcomes.Request, key: keys.Key
-    ) -> list[outcomes.Action]:
+        self, now: float, request: requestdata.Request, key: keys.Key
+    ) -> list[requestdata.Action]:
         """Forward a request, unless a peer has forwarded it already.
 
         Parameters
         ----------
         now : float
             Time on the monotonic clock, in seconds.
-        request : outcomes.Request
+        request : requestdata.Request
             Request as received.
         key : keys.Key
             Its key, issued by another entry instance.
@@ -63,14 +63,14 @@
         elif self._callers.is_full():
             detail = "too many forwarded requests are waiting"
         if detail:
-            return [outcomes.Answer(request.caller, outcomes.unknown(detail))]
+            return [requestdata.Answer(request.caller, requestdata.unknown(detail))]
         forwarding = _Forwarding(request.key, key.issuer, request.deadline)
         self._callers.add(request.caller, request.deadline, forwarding)
-        return [outcomes.Forward(request.caller, key.issuer, request.deadline)]
+        return [requestdata.Forward(request.caller, key.issuer, request.deadline)]
 
     def note_failed(
         self, now: float, caller: str, has_left: bool
-    ) -> list[outcomes.Action]:
+    ) -> list[requestdata.Action]:
         """Take the failure of a forward.
 
         Parameters
@@ -89,12 +89,12 @@
         if has_left or forwarding.attempts >= FORWARD_ATTEMPTS_MAX:
             return actions + self._give_up(caller, "the issuer did not answer")
         forwarding.attempts += 1
-        forward = outcomes.Forward(caller, forwarding.issuer, forwarding.deadline)
+        forward = requestdata.Forward(caller, forwarding.issuer, forwarding.deadline)
         return [*actions, forward]
 
     def note_answered(
-        self, now: float, caller: str, key: str, outcome: outcomes.Outcome
-    ) -> list[outcomes.Action]:
+        self, now: float, caller: str, key: str, outcome: requestdata.Outcome
+    ) -> list[requestdata.Action]:
         """Pass on what the issuer answered, a reply or a typed refusal.
 
         Parameters
@@ -105,7 +105,7 @@
             Caller whose request was forwarded.
         key : str
             Text of the key that the issuer's answer names.
-        outcome : outcomes.Outcome
+        outcome : requestdata.Outcome
             Outcome that the issuer's answer carries.
         """
         forwarding = self._callers.get(caller)
@@ -115,15 +115,15 @@
             actions = self._give_up(caller, "the issuer answered for another key")
             return actions + self.expire(now)
         self._callers.remove(caller)
-        return [outcomes.Answer(caller, outcome), *self.expire(now)]
+        return [requestdata.Answer(caller, outcome), *self.expire(now)]
 
     def drop_caller(self, caller: str) -> None:
         """Take that a caller has gone; a later answer for it is ignored."""
         self._callers.remove(caller)
 
-    def expire(self, now: float) -> list[outcomes.Action]:
+    def expire(self, now: float) -> list[requestdata.Action]:
         """Answer the callers whose deadlines have passed by `now`, in seconds."""
-        actions: list[outcomes.Action] = []
+        actions: list[requestdata.Action] = []
         while (caller := self._callers.find_due(now)) is not None:
             actions += self._give_up(caller, "the deadline passed")
         return actions
@@ -132,14 +132,14 @@
         """Return the time at which `expire` has work next, in seconds."""
         return self._callers.next_deadline()
 
-    def stop(self) -> list[outcomes.Action]:
+    def stop(self) -> list[requestdata.Action]:
         """Answer every caller, and forward nothing from now on."""
         self._is_stopped = True
-        actions: list[outcomes.Action] = []
+        actions: list[requestdata.Action] = []
         for caller in self._callers.list_callers():
             actions += self._give_up(caller, "the process was stopped")
         return actions
 
-    def _give_up(self, caller: str, detail: str) -> list[outcomes.Action]:
+    def _give_up(self, caller: str, detail: str) -> list[requestdata.Action]:
         self._callers.remove(caller)
-        return [outcomes.Answer(caller, outcomes.unknown(detail))]
+        return [requestdata.Answer(caller, requestdata.unknown(detail))]
--- a/acacialatch/requests.py
+++ b/acacialatch/requests.py
@@ -10,7 +10,7 @@
 
 import result
 
-from acacialatch import callers, errors, forwards, keys, outcomes, runs
+from acacialatch import callers, errors, forwards, keys, requestdata, runs
 
 # Records with their stored replies take about 64 MiB at most, a quarter of the
 # 256 MB that an entry instance may use for control work.
@@ -25,10 +25,10 @@
 
 _REFUSED_KEYS = {
     keys.Verdict.FORGED: errors.Failure(errors.ErrorKind.KEY_INVALID, "forged key"),
-    keys.Verdict.WRONG_INCARNATION: outcomes.unknown("the issuer has restarted"),
+    keys.Verdict.WRONG_INCARNATION: requestdata.unknown("the issuer has restarted"),
 }
 _ENDED_KEYS = {
-    keys.Verdict.FORGOTTEN: outcomes.unknown("the key expired too long ago"),
+    keys.Verdict.FORGOTTEN: requestdata.unknown("the key expired too long ago"),
     keys.Verdict.EXPIRED: errors.Failure(errors.ErrorKind.KEY_EXPIRED),
 }
 
@@ -110,17 +110,17 @@
         return self._ring.issue(now)
 
     def begin(
-        self, now: float, request: outcomes.Request, view: outcomes.View
-    ) -> list[outcomes.Action]:
+        self, now: float, request: requestdata.Request, view: requestdata.View
+    ) -> list[requestdata.Action]:
         """Take a request from a caller or a peer.
 
         Parameters
         ----------
         now : float
             Time on the monotonic clock, in seconds.
-        request : outcomes.Request
+        request : requestdata.Request
             Request as received.
-        view : outcomes.View
+        view : requestdata.View
             Usable replicas and reasons not to send.
 
         Returns
@@ -139,23 +139,26 @@
         actions = self.expire(now)
         parsed = keys.parse(request.key)
         if isinstance(parsed, result.Err):
-            return [*actions, outcomes.Answer(request.caller, parsed.err_value)]
+            return [*actions, requestdata.Answer(request.caller, parsed.err_value)]
         key = parsed.ok_value
         verdict = self._ring.judge(now, key)
         if verdict is keys.Verdict.WRONG_ISSUER:
             return actions + self.forwards.begin(now, request, key)
         if verdict in _REFUSED_KEYS:
-            return [*actions, outcomes.Answer(request.caller, _REFUSED_KEYS[verdict])]
+            return [
+                *actions,
+                requestdata.Answer(request.caller, _REFUSED_KEYS[verdict]),
+            ]
         if key.serial in self._runs:
             return actions + self._repeat(now, request, self._runs[key.serial])
         failure = self._closed.get(key.serial, _ENDED_KEYS.get(verdict))
         if failure is not None:
-            return [*actions, outcomes.Answer(request.caller, failure)]
+            return [*actions, requestdata.Answer(request.caller, failure)]
         return actions + self._begin_run(now, request, key, view)
 
     def note_sent(
-        self, now: float, request_id: str, proved_at: float, view: outcomes.View
-    ) -> result.Result[float, list[outcomes.Action]]:
+        self, now: float, request_id: str, proved_at: float, view: requestdata.View
+    ) -> result.Result[float, list[requestdata.Action]]:
         """Ask for permission directly before the first byte is written.
 
         The permission counts as the first byte sent, whatever the write does.
@@ -168,7 +171,7 @@
             Identifier of the attempt.
         proved_at : float
             Time of the last exchange on the connection or of its set-up, in seconds.
-        view : outcomes.View
+        view : requestdata.View
             State at this moment, with the replica of the attempt among the usable
             ones unless it has become unusable since, for example with its zone.
 
@@ -190,7 +193,7 @@
             if is_usable:
                 run.tried.discard(run.address)
             actions = self._try_next(now, run, view) + self.expire(now)
-            return result.Err([outcomes.Close(request_id), *actions])
+            return result.Err([requestdata.Close(request_id), *actions])
         run.stage = runs.Stage.SENT
         return result.Ok(max(run.callers.values()))
 
@@ -198,9 +201,9 @@
         self,
         now: float,
         request_id: str,
-        reply: outcomes.Reply,
-        view: outcomes.View,
-    ) -> list[outcomes.Action]:
+        reply: requestdata.Reply,
+        view: requestdata.View,
+    ) -> list[requestdata.Action]:
         """Take a reply with `x-refused: before-run` and try another replica.
 
         `now` is in seconds; `view` offers the replicas that are left. A reply that
@@ -216,8 +219,8 @@
         return actions + self._try_next(now, run, view)
 
     def note_reply(
-        self, now: float, request_id: str, reply: outcomes.Reply
-    ) -> list[outcomes.Action]:
+        self, now: float, request_id: str, reply: requestdata.Reply
+    ) -> list[requestdata.Action]:
         """Take a reply, also a late one, and answer the callers that wait.
 
         A reply is verified if it is whole and carries the identifier of the
@@ -229,28 +232,28 @@
             Time on the monotonic clock, in seconds.
         request_id : str
             Identifier of the attempt whose connection carried the reply.
-        reply : outcomes.Reply
+        reply : requestdata.Reply
             Reply as read.
         """
         run = self._attempts.get(request_id)
         if run is None or run.is_unsent():
-            return [outcomes.Close(request_id), *self.expire(now)]
+            return [requestdata.Close(request_id), *self.expire(now)]
         if reply.request_id != request_id or not reply.is_complete:
-            unknown = outcomes.unknown("the reply could not be verified")
-            actions = [*self._settle(run, unknown), outcomes.Close(request_id)]
+            unknown = requestdata.unknown("the reply could not be verified")
+            actions = [*self._settle(run, unknown), requestdata.Close(request_id)]
             return actions + self.expire(now)
         self._end_attempt(run)
         if not _STATUS_OK_MIN <= reply.status < _STATUS_SERVER_ERROR_MIN:
-            unknown = outcomes.unknown(f"the reply has status {reply.status}")
+            unknown = requestdata.unknown(f"the reply has status {reply.status}")
             return self._settle(run, unknown) + self.expire(now)
         actions = self._settle(run, reply)
         if len(reply.body) > self._limits.reply_bytes:
-            run.outcome = outcomes.unknown("the reply was too large to be stored")
+            run.outcome = requestdata.unknown("the reply was too large to be stored")
         return actions + self.expire(now)
 
     def note_lost(
-        self, now: float, request_id: str, view: outcomes.View
-    ) -> list[outcomes.Action]:
+        self, now: float, request_id: str, view: requestdata.View
+    ) -> list[requestdata.Action]:
         """Take the failure of an attempt: connect failed, closed or timed out.
 
         Another replica is tried only if `note_sent` gave no permission for this
@@ -261,23 +264,23 @@
         if run is None or run.stage is runs.Stage.SETTLED:
             return actions
         if run.stage is runs.Stage.SENT:
-            unknown = outcomes.unknown("the connection was lost")
+            unknown = requestdata.unknown("the connection was lost")
             return actions + self._settle(run, unknown)
         self._end_attempt(run)
         return actions + self._try_next(now, run, view)
 
-    def drop_caller(self, now: float, caller: str) -> list[outcomes.Action]:
+    def drop_caller(self, now: float, caller: str) -> list[requestdata.Action]:
         """Take that a caller has gone; an unsent request without caller is closed."""
         self.forwards.drop_caller(caller)
-        actions: list[outcomes.Action] = []
+        actions: list[requestdata.Action] = []
         run = self._callers.remove(caller)
         if run is not None:
             del run.callers[caller]
             if run.is_unsent() and not run.callers:
-                actions = self._close(run, outcomes.not_run("the caller left"))
+                actions = self._close(run, requestdata.not_run("the caller left"))
         return actions + self.expire(now)
 
-    def expire(self, now: float) -> list[outcomes.Action]:
+    def expire(self, now: float) -> list[requestdata.Action]:
         """Apply the deadlines and key lifetimes that have passed by `now`, in s."""
         actions = self.forwards.expire(now)
         while (caller := self._callers.find_due(now)) is not None:
@@ -294,7 +297,7 @@
             times.append(self._expiries[0][0])
         return min((time for time in times if time is not None), default=None)
 
-    def shut_down(self, now: float) -> list[outcomes.Action]:
+    def shut_down(self, now: float) -> list[requestdata.Action]:
         """Answer every caller truthfully at once, and send nothing from now on."""
         actions = self.expire(now) + self.forwards.stop()
         self._is_stopped = True
@@ -303,64 +306,64 @@
                 stopped = errors.Failure(errors.ErrorKind.SHUTTING_DOWN)
                 actions += self._close(run, stopped)
             elif run.stage is runs.Stage.SENT:
-                unknown = outcomes.unknown("the process was stopped")
+                unknown = requestdata.unknown("the process was stopped")
                 actions += self._settle(run, unknown)
         return actions
 
     def _begin_run(
         self,
         now: float,
-        request: outcomes.Request,
+        request: requestdata.Request,
         key: keys.Key,
-        view: outcomes.View,
-    ) -> list[outcomes.Action]:
+        view: requestdata.View,
+    ) -> list[requestdata.Action]:
         expiry = (key.expires_at(), key.serial, key.forgotten_at())
         heapq.heappush(self._expiries, expiry)
         failure = self._find_refusal(now, request)
         if failure is not None:
             self._closed[key.serial] = failure
-            return [outcomes.Answer(request.caller, failure)]
+            return [requestdata.Answer(request.caller, failure)]
         run = self._runs[key.serial] = runs.Run(key, request.body_digest)
         self._wait(request, run)
         return self._try_next(now, run, view)
 
     def _find_refusal(
-        self, now: float, request: outcomes.Request
+        self, now: float, request: requestdata.Request
     ) -> errors.Failure | None:
         if self._is_stopped:
             return errors.Failure(errors.ErrorKind.SHUTTING_DOWN)
         if request.deadline <= now:
-            return outcomes.not_run("the deadline passed before the send")
+            return requestdata.not_run("the deadline passed before the send")
         if len(self._runs) >= self._limits.records or self._callers.is_full():
             return errors.Failure(errors.ErrorKind.OVERLOADED)
         return None
 
     def _repeat(
-        self, now: float, request: outcomes.Request, run: runs.Run
-    ) -> list[outcomes.Action]:
+        self, now: float, request: requestdata.Request, run: runs.Run
+    ) -> list[requestdata.Action]:
         """Answer or join a request whose key has a record."""
         outcome = run.outcome
         if request.body_digest != run.body_digest:
             outcome = errors.Failure(errors.ErrorKind.KEY_REUSED)
         elif outcome is None and (request.deadline <= now or self._callers.is_full()):
-            outcome = outcomes.unknown("the request is in progress")
+            outcome = requestdata.unknown("the request is in progress")
         if outcome is not None:
-            return [outcomes.Answer(request.caller, outcome)]
+            return [requestdata.Answer(request.caller, outcome)]
         self._wait(request, run)
         return []
 
-    def _wait(self, request: outcomes.Request, run: runs.Run) -> None:
+    def _wait(self, request: requestdata.Request, run: runs.Run) -> None:
         run.callers[request.caller] = request.deadline
         self._callers.add(request.caller, request.deadline, run)
 
     def _find_obstacle(
-        self, now: float, run: runs.Run, view: outcomes.View
+        self, now: float, run: runs.Run, view: requestdata.View
     ) -> errors.Failure | None:
         """Return why a request must not be sent, None if it may be sent."""
         if now >= run.key.expires_at():
             return errors.Failure(errors.ErrorKind.KEY_EXPIRED)
         if max(run.callers.values(), default=now) <= now:
-            return outcomes.not_run("no caller waits any longer")
+            return requestdata.not_run("no caller waits any longer")
         if view.refusal is not None:
             return errors.Failure(view.refusal)
         if not view.is_current:
@@ -368,13 +371,13 @@
         return None
 
     def _try_next(
-        self, now: float, run: runs.Run, view: outcomes.View
-    ) -> list[outcomes.Action]:
+        self, now: float, run: runs.Run, view: requestdata.View
+    ) -> list[requestdata.Action]:
         """Start an attempt at the next replica, or close the key as not run."""
         failure = self._find_obstacle(now, run, view)
         send = None if failure is not None else run.start_attempt(now, view)
         if send is None:
-            return self._close(run, failure or outcomes.not_run("no usable replica"))
+            return self._close(run, failure or requestdata.not_run("no usable replica"))
         self._attempts[run.request_id] = run
         return [send]
 
@@ -383,27 +386,29 @@
         run.request_id = ""
 
     def _settle(
-        self, run: runs.Run, outcome: outcomes.Outcome
-    ) -> list[outcomes.Action]:
+        self, run: runs.Run, outcome: requestdata.Outcome
+    ) -> list[requestdata.Action]:
         """Record an outcome and give it to every caller that waits."""
         run.stage = runs.Stage.SETTLED
         run.outcome = outcome
         waiting, run.callers = run.callers, {}
         for caller in waiting:
             self._callers.remove(caller)
-        return [outcomes.Answer(caller, outcome) for caller in waiting]
+        return [requestdata.Answer(caller, outcome) for caller in waiting]
 
-    def _close(self, run: runs.Run, failure: errors.Failure) -> list[outcomes.Action]:
+    def _close(
+        self, run: runs.Run, failure: errors.Failure
+    ) -> list[requestdata.Action]:
         """Refuse the key as not run, for good."""
         actions = self._settle(run, failure)
         if run.request_id:
-            actions.append(outcomes.Close(run.request_id))
+            actions.append(requestdata.Close(run.request_id))
         self._end_attempt(run)
         del self._runs[run.key.serial]
         self._closed[run.key.serial] = failure
         return actions
 
-    def _pass_deadline(self, now: float, caller: str) -> list[outcomes.Action]:
+    def _pass_deadline(self, now: float, caller: str) -> list[requestdata.Action]:
         """Answer a caller whose deadline has passed.
 
         While others wait for an unsent request it may still run, so that only the
@@ -412,17 +417,17 @@
         run = self._callers.get(caller)
         deadlines = run.callers.values()
         if run.is_unsent() and all(deadline <= now for deadline in deadlines):
-            failure = outcomes.not_run("the deadline passed before the send")
+            failure = requestdata.not_run("the deadline passed before the send")
             return self._close(run, failure)
         self._callers.remove(caller)
         del run.callers[caller]
-        return [outcomes.Answer(caller, outcomes.unknown("the deadline passed"))]
+        return [requestdata.Answer(caller, requestdata.unknown("the deadline passed"))]
 
     def _pass_expiry(
         self, now: float, serial: int, forgotten_at: float
-    ) -> list[outcomes.Action]:
+    ) -> list[requestdata.Action]:
         """End the lifetime of a key, or forget it altogether."""
-        actions: list[outcomes.Action] = []
+        actions: list[requestdata.Action] = []
         due = forgotten_at
         run = self._runs.get(serial)
         if run is None and now >= forgotten_at:
@@ -436,6 +441,8 @@
         elif run is not None:
             self._end_attempt(run)
             del self._runs[serial]
-            self._closed[serial] = outcomes.unknown("the outcome is not stored longer")
+            self._closed[serial] = requestdata.unknown(
+                "the outcome is not stored longer"
+            )
         heapq.heappush(self._expiries, (due, serial, forgotten_at))
         return actions
--- a/acacialatch/runs.py
+++ b/acacialatch/runs.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from acacialatch import keys, outcomes
+from acacialatch import keys, requestdata
 
 # A pooled connection that has been quiet for longer may be stale.
 CONNECTION_PROOF_S = 1.0
@@ -38,7 +38,7 @@
         Deadlines of the waiting callers, in seconds, by caller.
     stage : Stage
         How far the request has come.
-    outcome : outcomes.Outcome or None
+    outcome : requestdata.Outcome or None
         Recorded outcome, once settled.
     request_id : str
         Identifier of the current attempt, empty if there is none.
@@ -54,7 +54,7 @@
     body_digest: bytes
     callers: dict[str, float] = dataclasses.field(default_factory=dict)
     stage: Stage = Stage.CONNECTING
-    outcome: outcomes.Outcome | None = None
+    outcome: requestdata.Outcome | None = None
     request_id: str = ""
     address: str = ""
     attempts: int = 0
@@ -64,18 +64,20 @@
         """Return whether no server can run the request unless it is sent anew."""
         return self.stage is Stage.CONNECTING
 
-    def is_offered(self, view: outcomes.View) -> bool:
+    def is_offered(self, view: requestdata.View) -> bool:
         """Return whether the replica of the current attempt is still usable."""
         return any(option.address == self.address for option in view.replicas)
 
-    def start_attempt(self, now: float, view: outcomes.View) -> outcomes.Send | None:
+    def start_attempt(
+        self, now: float, view: requestdata.View
+    ) -> requestdata.Send | None:
         """Choose the next replica, None if there is none or after the last attempt.
 
         Parameters
         ----------
         now : float
             Time on the monotonic clock, in seconds.
-        view : outcomes.View
+        view : requestdata.View
             Usable replicas, best first.
         """
         untried = (item for item in view.replicas if item.address not in self.tried)
@@ -89,7 +91,7 @@
         self.request_id = f"{self.key.incarnation}-{self.key.serial}-{self.attempts}"
         caller = next(iter(self.callers))
         is_new = option.proved_at is None or is_stale(now, option.proved_at)
-        return outcomes.Send(self.request_id, caller, option.address, is_new)
+        return requestdata.Send(self.request_id, caller, option.address, is_new)
 
 
 def is_stale(now: float, proved_at: float) -> bool:
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -10,7 +10,7 @@
 import result
 from hypothesis import strategies
 
-from acacialatch import callers, errors, keys, outcomes, requests, runs
+from acacialatch import callers, errors, keys, requestdata, requests, runs
 
 SECRET = b"s" * 32
 ADDRESSES = ("127.0.0.1:7001", "127.0.0.1:7002", "127.0.0.1:7003")
@@ -67,10 +67,10 @@
     def view(self, now, rng):
         """Return replicas in any order, with connections of any age."""
         replicas = tuple(
-            outcomes.ReplicaOption(address, rng.choice((None, now, now - 5.0)))
+            requestdata.ReplicaOption(address, rng.choice((None, now, now - 5.0)))
             for address in rng.sample(ADDRESSES, rng.choice((3,) * 10 + (1, 0)))
         )
-        return outcomes.View(replicas, self.is_current)
+        return requestdata.View(replicas, self.is_current)
 
 
 class Fleet(hypothesis.stateful.RuleBasedStateMachine):
@@ -107,19 +107,19 @@
     def perform(self, node, actions):
         """Carry out what the ledger of a node decided."""
         for action in actions:
-            if isinstance(action, outcomes.Send):
+            if isinstance(action, requestdata.Send):
                 key, body = node.waiting[action.caller][:2]
                 first = self.first_body.setdefault(key, body)
                 self.check("bodies", body == first, "another body was sent")
                 place = ("run", node.index, node.incarnation, key, body)
                 node.attempts[action.request_id] = Message(*place, action.request_id)
-            elif isinstance(action, outcomes.Forward):
+            elif isinstance(action, requestdata.Forward):
                 key, body = node.waiting[action.caller][:2]
                 origin = (node.index, node.incarnation, action.caller)
                 rest = action.deadline - self.clock(node)
                 index = int(action.issuer.removeprefix("entry"))
                 self.net.append(Message("request", index, 0, key, body, (rest, origin)))
-            elif isinstance(action, outcomes.Close):
+            elif isinstance(action, requestdata.Close):
                 node.attempts.pop(action.request_id, None)
             else:
                 self.answer(node, *action)
@@ -131,7 +131,7 @@
             place = ("answer", index, incarnation, key, body)
             self.net.append(Message(*place, (peer_caller, outcome, False)))
             return
-        if isinstance(outcome, outcomes.Reply):
+        if isinstance(outcome, requestdata.Reply):
             whole = outcome.body.startswith(f"{key} {body.decode()}.".encode())
             self.check("answers", whole, "an answer belongs to another request")
             self.check("answers", outcome.is_complete, "an answer is cut short")
@@ -225,7 +225,7 @@
         caller = f"c{self.receipts}"
         node.waiting[caller] = (message.key, message.body, origin)
         now = self.clock(node)
-        request = outcomes.Request(
+        request = requestdata.Request(
             caller, message.key, message.body, now + rest, origin is not None
         )
         self.perform(node, node.ledger.begin(now, request, node.view(now, rng)))
@@ -250,7 +250,7 @@
         body = f"{message.key} {message.body.decode()}.{padding}".encode()
         if event not in ("refuse", "fail"):
             self.runs[message.key] += 1
-        reply = outcomes.Reply(message.content, status, body, event != "truncate")
+        reply = requestdata.Reply(message.content, status, body, event != "truncate")
         if event != "lose":
             content = (message.content, reply, event == "refuse")
             self.net.append(message._replace(kind="reply", content=content))
@@ -371,7 +371,7 @@
 
 
 KIND = errors.ErrorKind
-CURRENT = outcomes.View(tuple(map(outcomes.ReplicaOption, ADDRESSES)), True)
+CURRENT = requestdata.View(tuple(map(requestdata.ReplicaOption, ADDRESSES)), True)
 
 
 class Desk:
@@ -386,7 +386,7 @@
 
     def begin(self, now, deadline=10.0, view=CURRENT, **changes):
         self.receipts += 1
-        request = outcomes.Request(f"c{self.receipts}", self.key, b"a", deadline)
+        request = requestdata.Request(f"c{self.receipts}", self.key, b"a", deadline)
         return self.ledger.begin(now, request._replace(**changes), view)
 
     def ask(self, now, **changes):
@@ -429,10 +429,10 @@
     lost = desk.ledger.note_lost(1.0, request_id, CURRENT)
     assert [answer.caller for answer in lost] == ["c1", "c2"]
     assert {answer.outcome.kind for answer in lost} == {KIND.OUTCOME_UNKNOWN}
-    other = outcomes.Reply("other", 200, b"other")
+    other = requestdata.Reply("other", 200, b"other")
     assert desk.ledger.note_reply(2.0, request_id, other)
     assert desk.ask(3.0).kind is KIND.OUTCOME_UNKNOWN
-    reply = outcomes.Reply(request_id, 200, b"booked")
+    reply = requestdata.Reply(request_id, 200, b"booked")
     desk.ledger.note_reply(4.0, request_id, reply)
     assert desk.ask(599.0, deadline=0.0) == reply
     assert desk.ask(599.0, body_digest=b"b").kind is KIND.KEY_REUSED
@@ -444,15 +444,15 @@
     desk = Desk()
     first = desk.begin(0.0)[0]
     second = desk.ledger.note_lost(0.0, first.request_id, CURRENT)[0]
-    reply = outcomes.Reply(second.request_id, 503, b"")
+    reply = requestdata.Reply(second.request_id, 503, b"")
     stray = desk.ledger.note_reply(0.0, second.request_id, reply._replace(status=200))
-    assert stray == [outcomes.Close(second.request_id)]
+    assert stray == [requestdata.Close(second.request_id)]
     assert desk.ledger.note_sent(0.0, second.request_id, 0.0, CURRENT).is_ok()
     assert desk.ledger.note_sent(0.0, second.request_id, 0.0, CURRENT).is_err()
     third = desk.ledger.note_refused(0.0, second.request_id, reply, CURRENT)[0]
     assert desk.ledger.note_sent(0.0, third.request_id, 0.0, CURRENT).is_ok()
     late = desk.ledger.note_refused(0.0, second.request_id, reply, CURRENT)
-    assert late == [outcomes.Close(second.request_id)]
+    assert late == [requestdata.Close(second.request_id)]
     assert [first.address, second.address, third.address] == list(ADDRESSES)
     reply = reply._replace(request_id=third.request_id)
     (closed,) = desk.ledger.note_refused(0.0, third.request_id, reply, CURRENT)
@@ -464,10 +464,10 @@
     """Guards against a second run after the refusal of another request."""
     desk = Desk()
     request_id = desk.send(0.0)
-    reply = outcomes.Reply("other", 503, b"")
+    reply = requestdata.Reply("other", 503, b"")
     answer = desk.ledger.note_refused(0.0, request_id, reply, CURRENT)[0]
     assert answer.outcome.kind is KIND.OUTCOME_UNKNOWN
-    reply = outcomes.Reply(request_id, 200, b"booked")
+    reply = requestdata.Reply(request_id, 200, b"booked")
     desk.ledger.note_refused(0.0, request_id, reply, CURRENT)
     assert desk.ask(0.0) == reply
 
@@ -491,7 +491,7 @@
     assert desk.ledger.expire(600.0)[0].outcome.kind is KIND.KEY_EXPIRED
     desk = Desk()
     request_id = desk.send(599.0, deadline=700.0)
-    reply = outcomes.Reply(request_id, 503, b"")
+    reply = requestdata.Reply(request_id, 503, b"")
     (answer,) = desk.ledger.note_refused(601.0, request_id, reply, CURRENT)
     assert answer.outcome.kind is KIND.KEY_EXPIRED
 
@@ -499,7 +499,7 @@
 def test_deadline_of_a_joined_caller():
     """Guards against a false "not run" while another caller still waits."""
     desk = Desk()
-    assert [type(action) for action in desk.begin(0.0)] == [outcomes.Send]
+    assert [type(action) for action in desk.begin(0.0)] == [requestdata.Send]
     assert desk.begin(0.0, deadline=5.0) == []
     assert desk.ledger.next_timer() == 5.0
     (joined,) = desk.ledger.expire(5.0)
@@ -531,7 +531,7 @@
     """Guards against an unneeded send, and against "not run" of a sent request."""
     desk = Desk()
     request_id = desk.begin(0.0)[0].request_id
-    assert desk.ledger.drop_caller(0.0, "c1") == [outcomes.Close(request_id)]
+    assert desk.ledger.drop_caller(0.0, "c1") == [requestdata.Close(request_id)]
     assert desk.ask(0.0).kind is KIND.NOT_RUN
     desk = Desk()
     desk.send(0.0)
@@ -554,7 +554,7 @@
     second = desk.ledger.issue_key(0.0).ok_value
     assert desk.ledger.issue_key(0.0).err_value.kind is KIND.OVERLOADED
     assert desk.ask(0.0, key=second).kind is KIND.OVERLOADED
-    reply = outcomes.Reply(request_id, 200, b"large")
+    reply = requestdata.Reply(request_id, 200, b"large")
     assert desk.ledger.note_reply(0.0, request_id, reply)[0].outcome == reply
     assert desk.ask(0.0).kind is KIND.OUTCOME_UNKNOWN
     desk.ledger.expire(600.0)
@@ -579,7 +579,7 @@
     assert desk.begin(0.0, key=key)[0].issuer == "entry1"
     table = desk.ledger.forwards
     tries = [type(table.note_failed(1.0, "c2", False)[0]) for _ in range(3)]
-    assert tries == [outcomes.Forward, outcomes.Forward, outcomes.Answer]
+    assert tries == [requestdata.Forward, requestdata.Forward, requestdata.Answer]
     refused = errors.Failure(KIND.NOT_CURRENT)
     desk.begin(1.0, key=key)
     assert table.note_answered(1.0, "c3", key, refused)[0].outcome == refused
