--- a/acacialatch/callers.py
+++ b/acacialatch/callers.py
@@ -28,7 +28,17 @@
         return len(self._entries) >= self._size_max
 
     def add(self, caller: str, deadline: float, entry: Entry) -> None:
-        """Add a caller with its deadline, in seconds."""
+        """Add a caller that is not in the table.
+
+        Parameters
+        ----------
+        caller : str
+            Identifier of the caller.
+        deadline : float
+            Time by which its answer must leave, in seconds.
+        entry : Entry
+            What the caller waits for.
+        """
         self._entries[caller] = (deadline, entry)
         heapq.heappush(self._heap, (deadline, caller))
         if len(self._heap) > 2 * self._size_max:
@@ -51,7 +61,14 @@
         return tuple(self._entries)
 
     def find_due(self, now: float) -> str | None:
-        """Return a caller whose deadline has passed, None if there is none."""
+        """Return a caller whose deadline has passed, None if there is none.
+
+        Parameters
+        ----------
+        now : float
+            Time on the monotonic clock, in seconds. A deadline equal to it has
+            passed.
+        """
         deadline = self.next_deadline()
         return None if deadline is None or deadline > now else self._heap[0][1]
 
--- a/acacialatch/requests.py
+++ b/acacialatch/requests.py
@@ -172,7 +172,8 @@
         proved_at : float
             Time of the last exchange on the connection or of its set-up, in seconds.
         view : requestdata.View
-            State at this moment.
+            State at this moment, with the replica of the attempt among the usable
+            ones unless it has become unusable since, for example with its zone.
 
         Returns
         -------
@@ -180,18 +181,19 @@
             The deadline for the backend server, in seconds; or the actions to take
             instead, in which case nothing may be written.
         """
-        actions = self.expire(now)
         run = self._attempts.get(request_id)
         if run is None or not run.is_unsent():
-            return result.Err(actions)
+            return result.Err(self.expire(now))
         failure = self._find_obstacle(now, run, view)
         if failure is not None:
-            return result.Err(actions + self._close(run, failure))
-        if runs.is_stale(now, proved_at):
+            return result.Err(self._close(run, failure) + self.expire(now))
+        is_usable = run.is_offered(view)
+        if not is_usable or runs.is_stale(now, proved_at):
             self._end_attempt(run)
-            run.tried.discard(run.address)
-            actions.append(requestdata.Close(request_id))
-            return result.Err(actions + self._try_next(now, run, view))
+            if is_usable:
+                run.tried.discard(run.address)
+            actions = self._try_next(now, run, view) + self.expire(now)
+            return result.Err([requestdata.Close(request_id), *actions])
         run.stage = runs.Stage.SENT
         return result.Ok(max(run.callers.values()))
 
@@ -204,7 +206,8 @@
     ) -> list[requestdata.Action]:
         """Take a reply with `x-refused: before-run` and try another replica.
 
-        A reply that does not match the attempt is handled as by `note_reply`.
+        `now` is in seconds; `view` offers the replicas that are left. A reply that
+        does not match the attempt `request_id` is handled as by `note_reply`.
         """
         actions = self.expire(now)
         run = self._attempts.get(request_id)
@@ -253,7 +256,8 @@
     ) -> list[requestdata.Action]:
         """Take the failure of an attempt: connect failed, closed or timed out.
 
-        Another replica is tried only if `note_sent` never gave permission.
+        Another replica is tried only if `note_sent` gave no permission for this
+        attempt. `now` is in seconds; `view` offers the replicas that are left.
         """
         actions = self.expire(now)
         run = self._attempts.get(request_id)
@@ -277,7 +281,7 @@
         return actions + self.expire(now)
 
     def expire(self, now: float) -> list[requestdata.Action]:
-        """Apply the deadlines and key lifetimes that have passed by `now`."""
+        """Apply the deadlines and key lifetimes that have passed by `now`, in s."""
         actions = self.forwards.expire(now)
         while (caller := self._callers.find_due(now)) is not None:
             actions += self._pass_deadline(now, caller)
@@ -355,10 +359,10 @@
     def _find_obstacle(
         self, now: float, run: runs.Run, view: requestdata.View
     ) -> errors.Failure | None:
-        """Return why a request must not be sent; `expire` has run before."""
+        """Return why a request must not be sent, None if it may be sent."""
         if now >= run.key.expires_at():
             return errors.Failure(errors.ErrorKind.KEY_EXPIRED)
-        if not run.callers:
+        if max(run.callers.values(), default=now) <= now:
             return requestdata.not_run("no caller waits any longer")
         if view.refusal is not None:
             return errors.Failure(view.refusal)
--- a/demo/prepare.py
+++ b/demo/prepare.py
@@ -69,4 +69,6 @@
 
 
 if __name__ == "__main__":
-    write_settings(pathlib.Path(sys.argv[1]), pathlib.Path(sys.argv[2]), int(sys.argv[3]))
+    write_settings(
+        pathlib.Path(sys.argv[1]), pathlib.Path(sys.argv[2]), int(sys.argv[3])
+    )
