Forward requests to known peers only; a leaving process issues no keys

The key names the address of its issuer and cannot be verified elsewhere, so a forged key made any entry instance connect to any address. The new test failed before: a link to 127.0.0.9:22 was made.

--- a/acacialatch/engine.py
+++ b/acacialatch/engine.py
@@ -111,7 +111,11 @@
         ledger = requests.RequestLedger(
             identity.peer_address, identity.incarnation, identity.secret
         )
-        self._submissions = submissions.SubmissionRunner(self._dispatcher, ledger)
+        self._submissions = submissions.SubmissionRunner(
+            self._dispatcher,
+            ledger,
+            lambda now: {peer.address for peer in self._members.list_peers(now)},
+        )
         self._control = control.Controller(
             self._dispatcher,
             self._members,
@@ -330,8 +334,11 @@
     # Direct answers.
 
     def issue_key(self, now: float) -> result.Result[str, errors.Failure]:
-        """Issue an idempotency key."""
-        if self._refuses:
+        """Issue an idempotency key.
+
+        A leaving process issues none, since its end would make the outcome unknown.
+        """
+        if self._is_leaving:
             return result.Err(errors.Failure(errors.ErrorKind.SHUTTING_DOWN))
         return self._submissions.issue_key(now)
 
--- a/acacialatch/submissions.py
+++ b/acacialatch/submissions.py
@@ -40,9 +40,15 @@
         Keys and requestdata.
     """
 
-    def __init__(self, dispatcher: dispatch.Dispatcher, ledger: requests.RequestLedger):
+    def __init__(
+        self,
+        dispatcher: dispatch.Dispatcher,
+        ledger: requests.RequestLedger,
+        list_peers: typing.Callable[[float], typing.Container[str]],
+    ):
         self._dispatcher = dispatcher
         self._ledger = ledger
+        self._list_peers = list_peers
         self._arrived: dict[str, events.RequestArrived] = {}
         self._sent: dict[int, _Sent] = {}
         self._send_ids: dict[str, int] = {}
@@ -173,7 +179,7 @@
                 case requestdata.Send():
                     pending += self._send(now, action, actions)
                 case requestdata.Forward():
-                    actions.append(self._forward(now, action))
+                    pending += self._forward(now, action, actions)
                 case requestdata.Answer():
                     self._arrived.pop(action.caller, None)
                     actions.append(events.AnswerRequest(action.caller, action.outcome))
@@ -202,11 +208,26 @@
         actions.append(_make_send(now, begun, send, arrived))
         return []
 
-    def _forward(self, now: float, forward: requestdata.Forward) -> events.Action:
+    def _forward(
+        self,
+        now: float,
+        forward: requestdata.Forward,
+        actions: list[events.Action],
+    ) -> list[requestdata.Action]:
+        """Start a forward; returns what the ledger decides when it must not happen.
+
+        The key names the issuer's address, and this process cannot verify a key of
+        another one. So it connects only to addresses that are known as peers.
+        """
+        if forward.issuer not in self._list_peers(now):
+            # As if it had left: another try would change nothing.
+            return self._ledger.forwards.note_failed(now, forward.caller, True)
         arrived = self._arrived[forward.caller]
-        return events.ForwardToPeer(
-            forward.caller, forward.issuer, arrived, max(0.0, forward.deadline - now)
+        timeout_s = max(0.0, forward.deadline - now)
+        actions.append(
+            events.ForwardToPeer(forward.caller, forward.issuer, arrived, timeout_s)
         )
+        return []
 
     def _close(self, now: float, request_id: str) -> list[events.Action]:
         send_id = self._send_ids.get(request_id)
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -348,6 +348,7 @@
         self.output = outputs.MemoryOutput()
         self.runner: PausableRunner
         self.scope = trio.CancelScope()
+        self.links_made: set[str] = set()
 
     @property
     def gateway(self) -> gateway.Gateway:
@@ -383,6 +384,8 @@
         Fraction of slow sub-requests.
     is_cold : bool
         Whether the backend servers start cold.
+    size : int
+        Entry instances that know each other from their settings.
     """
 
     def __init__(
@@ -393,12 +396,14 @@
         seed: int = 1,
         straggler_rate: float = 0.01,
         is_cold: bool = False,
+        size: int = 8,
     ):
         self._nursery = nursery
         self._random = random.Random(seed)
         servers = backend.make_servers(configuration, seed, straggler_rate, is_cold)
         self.servers = {server.replica.address: server for server in servers}
         self.platform = FakePlatform(text)
+        self._size = size
         self.entries: dict[str, Entry] = {}
         self._by_address: dict[str, Entry] = {}
         self._cuts: set[frozenset[str]] = set()
@@ -419,7 +424,9 @@
         """
         number = int(name.rsplit("-", 1)[1])
         known = tuple(
-            f"127.0.0.1:{7900 + other}" for other in range(1, 9) if other != number
+            f"127.0.0.1:{7900 + other}"
+            for other in range(1, self._size + 1)
+            if other != number
         )
         identity = engine.Identity(
             name,
@@ -439,7 +446,7 @@
             client,
             source or self.platform,
             self.platform,
-            lambda address: FakeLink(self, identity.peer_address, address),
+            lambda address: self._link(entry, address),
             entry.output,
         )
         entry.runner = PausableRunner(core, interfaces)
@@ -447,6 +454,10 @@
         await self._nursery.start(self._run, entry)
         return entry
 
+    def _link(self, entry: Entry, address: str) -> FakeLink:
+        entry.links_made.add(address)
+        return FakeLink(self, entry.core.identity.peer_address, address)
+
     async def _run(self, entry: Entry, task_status: trio.TaskStatus[None]) -> None:
         with entry.scope:
             await entry.runner.run(task_status)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -100,7 +100,9 @@
 async def world(nursery):
     fakes.make_deterministic(1)
     text = make_text()
-    fleet = fakes.Fleet(nursery, text, configuration.parse(text).unwrap(), 1, 0.0)
+    fleet = fakes.Fleet(
+        nursery, text, configuration.parse(text).unwrap(), 1, 0.0, size=3
+    )
     made = World(fleet, nursery)
     await made.start()
     return made
@@ -359,3 +361,15 @@
         assert comparison.complete
     edited = written[-1].replace(b"127.0.1.1:7002", b"127.0.1.1:7003", 1)
     assert isinstance(records.read(edited), result.Err)
+
+
+async def test_forward_goes_to_known_peers_only(world, autojump_clock):
+    """Guards against a forged key that makes this process connect anywhere."""
+    entry = world.fleet.entries["entry-1"]
+    key = await issue_key(world.fleet.entries["entry-2"])
+    forged = key.replace("127.0.0.1:7902", "127.0.0.9:22")
+    status, answer = await entry.post(
+        "/v1/request/desk", {"key": 10, "body": "lathe 7"}, forged
+    )
+    assert (status, answer["error"]["kind"]) == (504, "outcome_unknown")
+    assert entry.links_made == {"127.0.0.1:7902", "127.0.0.1:7903"}
