Hedge after the 98th percentile, at most 2.5 times the median

Cause: the explanation records of slow queries show hedges denied by the budget (3 of 6) or sent 40 to 114 ms late (the percentile of a short window was itself a straggler). Ruled out: missing replicas (all candidates but the one in use were usable in 5 of 6). Both are kept.

--- a/acacialatch/latencies.py
+++ b/acacialatch/latencies.py
@@ -9,8 +9,12 @@
 WINDOW = 200
 # With fewer values the percentile is not used.
 WINDOW_MIN = 20
-# Percentile used as the hedge delay.
-HEDGE_PERCENTILE = 95
+# Percentile used as the hedge delay. The 95th asks for more hedges than the budget of
+# 5% allows, so that stragglers found no token.
+HEDGE_PERCENTILE = 98
+# Largest ratio of the hedge delay to the median. A few stragglers in a short window
+# are enough to make the percentile a straggler itself.
+MEDIAN_FACTOR = 2.5
 
 
 def average(previous: float | None, latency_s: float) -> float:
@@ -36,8 +40,10 @@
             del self._sorted[bisect.bisect_left(self._sorted, oldest)]
 
     def percentile(self) -> float | None:
-        """Return the 95th percentile, or None with too few values."""
+        """Return the bounded percentile, or None with too few values."""
         count = len(self._sorted)
         if count < WINDOW_MIN:
             return None
-        return self._sorted[(count * HEDGE_PERCENTILE + 99) // 100 - 1]
+        median = self._sorted[count // 2]
+        percentile = self._sorted[(count * HEDGE_PERCENTILE + 99) // 100 - 1]
+        return min(percentile, MEDIAN_FACTOR * median)
