Cover runs, forgetting and address changes in the membership tests

Cause: mutations of the membership module passed the first version of its tests: estimated starts, the order of runs, own earlier runs, listed instances, early forgetting of leaving ones, repeated leaving changes, addresses that change hands.

Ruled out: relying on the state machine for the preference of a live run.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -161,18 +161,28 @@
 def test_newest_run_in_any_order(order):
     """Guards against a paused old run that takes the place of its successor."""
     table = membership.Membership(announce(0))
-    spoken = [
-        announce(1, f"r{run}-", leaving=run == 3, uptime_s=8.0 - 2 * run)
+    spoken = [  # the order of the names of the runs is not the order of the starts
+        announce(1, f"r{9 - run}-", leaving=run == 3, uptime_s=8.0 - 2 * run)
         for run in range(4)
     ]
     for position in order:
         table.hear(10.0, spoken[position % 4])
     assert table.name_entries(10.0, (), "east", 9) == ("127.0.0.1:1",)
     table.hear(10.1, spoken[3]._replace(leaving=False, uptime_s=2.1))
-    assert table.name_entries(10.1, (), "east", 9) == ("127.0.0.1:1",)
-    changes = table.hear(10.2, announce(1, "r4-", uptime_s=0.1))
+    table.hear(12.5, spoken[2])  # late, so its run seems to have started later
+    assert table.name_entries(12.5, (), "east", 9) == ("127.0.0.1:1",)
+    changes = table.hear(12.6, announce(1, "r4-", uptime_s=0.1))
     assert [change.cause for change in changes] == [membership.Cause.RESTARTED]
-    assert len(table.name_entries(10.2, (), "east", 9)) == 2
+    assert len(table.name_entries(12.6, (), "east", 9)) == 2
+
+
+def test_silent_newest_run_does_not_hide_a_live_one():
+    """Guards against a late digest of a dead run that hides the live run for long."""
+    table = membership.Membership(announce(0))
+    table.hear(10.0, announce(1, "dead", uptime_s=0.0, leaving=True))
+    table.hear(11.0, announce(1, "live", uptime_s=5.0))
+    assert len(table.name_entries(11.0, (), "east", 9)) == 1
+    assert len(table.name_entries(13.5, (), "east", 9)) == 2
 
 
 def test_entries_prefer_the_zone_and_spread():
@@ -246,9 +256,34 @@
     table.update_list(0.0, [list_entry(2)])
     names = [(peer.name, peer.zone) for peer in table.list_peers(0.0)]
     assert names == [("n1", "west"), ("n2", "north"), ("", "")]
-    table.hear(1.0, announce(1, leaving=True))
+    (change,) = table.hear(1.0, announce(1, leaving=True))
+    assert change.cause is membership.Cause.LEAVING
+    assert table.hear(1.0, announce(1, leaving=True)) == ()
     assert len(table.list_peers(1.0)) == 3
     assert [peer.name for peer in table.list_peers(9.0)] == ["", "n2", ""]
+    # An earlier run of this instance is no peer.
+    assert table.hear(9.0, announce(0, "old", peer_address="127.0.0.2:8")) == ()
+    assert len(table.list_peers(9.0)) == 3
+    (change,) = table.forget(1e6)  # the one that left; the listed one stays
+    assert (change.cause, change.name) == (membership.Cause.FORGOTTEN, "n1")
+
+
+def test_address_passes_to_the_latest_instance():
+    """Guards against digests under the name of an instance that is gone."""
+    table = make(range(1, 3))
+    for now, number in ((1.0, 2), (2.0, 1)):
+        table.hear(now, announce(number, peer_address="127.0.0.2:9"))
+        assert table.list_peers(now)[-1].name == f"n{number}"
+
+
+def test_leaving_instances_are_forgotten_earlier():
+    """Guards against a list that fills up with restarts."""
+    table = make(range(1, 2))
+    table.hear(1.0, announce(1, leaving=True))
+    assert table.forget(601.0) == ()
+    (change,) = table.forget(601.1)
+    assert change.cause is membership.Cause.FORGOTTEN
+    assert not table.knows_peers(601.1)
 
 
 def test_silent_peers_stay_known():
