--- a/acacialatch/cli.py
+++ b/acacialatch/cli.py
@@ -9,7 +9,16 @@
 import trio
 
 import acacialatch
-from acacialatch import configuration, daemon, outputs, records, replay, settings
+from acacialatch import (
+    configuration,
+    daemon,
+    model,
+    outputs,
+    records,
+    replay,
+    settings,
+    tables,
+)
 
 EXIT_REFUSED = 1
 
@@ -27,7 +36,7 @@
         """
         _serve(settings)
 
-    def check(self, file: str) -> None:
+    def check(self, file: str, previous: str = "") -> None:
         """Check a settings file or a configuration text.
 
         Every problem is printed with file, key, value and what is allowed. The exit
@@ -37,10 +46,12 @@
         ----------
         file : str
             Path of the file.
+        previous : str
+            Path of the configuration text in force, if the file shall follow it.
         """
-        _check(file)
+        _check(file, previous)
 
-    def replay(self, file: str) -> None:
+    def replay(self, file: str, answer: str = "") -> None:
         """Replay an explanation record and compare the decisions.
 
         The exit status is 0 only if the record is unchanged and the core decides
@@ -49,9 +60,11 @@
         Parameters
         ----------
         file : str
-            Path of a file with one record, as written to the log.
+            Path of a record, or of a log that holds records.
+        answer : str
+            Identifier of the answer; needed only for a log with several records.
         """
-        _replay(file)
+        _replay(file, answer)
 
     def version(self) -> None:
         """Print the version."""
@@ -81,7 +94,7 @@
         await daemon.Daemon(chosen, output).run()
 
 
-def _check(path: str) -> None:
+def _check(path: str, previous: str) -> None:
     text = _read(path)
     if settings.is_settings(text):
         parsed: result.Result = settings.parse(text, path)
@@ -91,11 +104,25 @@
         kind = "configuration"
     if isinstance(parsed, result.Err):
         _refuse(parsed.err_value)
+    if previous:
+        _check_successor(parsed.unwrap(), path, previous)
     print(f"{path}: {kind} is valid")
 
 
-def _replay(path: str) -> None:
-    read = records.read(_read(path))
+def _check_successor(checked: object, path: str, previous: str) -> None:
+    if not isinstance(checked, model.Configuration):
+        sys.exit(f"{path}: settings have no previous text")
+    before = configuration.parse(_read(previous), previous)
+    if isinstance(before, result.Err):
+        _refuse(before.err_value)
+    problems = configuration.check_successor(before.unwrap(), checked, path)
+    if problems:
+        _refuse(problems)
+
+
+def _replay(path: str, answer: str) -> None:
+    data = _find_record(path, _read(path), answer)
+    read = records.read(data)
     if isinstance(read, result.Err):
         problem = read.err_value
         sys.exit(f"{path}: line {problem.line}, {problem.field}: {problem.text}")
@@ -104,10 +131,22 @@
     if not comparison.same:
         sys.exit(f"{path}: {_describe_difference(comparison)}")
     if not comparison.complete:
-        sys.exit(f"{path}: the record is incomplete; decisions agree as far as it goes")
+        sys.exit(
+            f"{path}: the record is incomplete; the decisions agree as far as it is"
+        )
     print(f"{path}: the same decisions")
 
 
+def _find_record(path: str, data: bytes, answer: str) -> bytes:
+    """Return the record in a log, or the data itself if it is a record."""
+    found = list(records.find_in_log(data, answer))
+    if len(found) > 1:
+        sys.exit(f"{path}: {len(found)} records; name one with --answer")
+    if not found and answer:
+        sys.exit(f"{path}: no record of answer {answer}")
+    return found[0] if found else data
+
+
 def _describe_difference(comparison: replay.Comparison) -> str:
     difference = comparison.difference
     if difference is None:
@@ -127,5 +166,6 @@
 
 def _refuse(problems: tuple[object, ...]) -> None:
     for problem in problems:
-        print(problem, file=sys.stderr)
+        text = problem.describe() if isinstance(problem, tables.Problem) else problem
+        print(text, file=sys.stderr)
     sys.exit(EXIT_REFUSED)
--- a/acacialatch/control.py
+++ b/acacialatch/control.py
@@ -35,6 +35,9 @@
 READ_PERIOD_PER_INSTANCE_S = 0.1
 """Entry instances that are no watchers together read 10 times a second at most."""
 
+FULL_READ_PERIOD_S = 60.0
+"""Time between reads that also return the text in force, to find a restored service."""
+
 SERVICE_AGE_MAX_S = 2.0
 """Age of the latest known service read above which every entry instance reads."""
 
@@ -88,6 +91,7 @@
         self._incarnation = dispatcher.identity.incarnation
         self._is_reading = False
         self._next_read = now
+        self._next_full_read = now + FULL_READ_PERIOD_S * self._jitter()
         self._failures = 0
         self._is_listing = False
         self._next_list = now
@@ -198,9 +202,14 @@
         if self._is_reading or now < self._next_read:
             return []
         self._is_reading = True
+        after = self._store.watch_after
+        if now >= self._next_full_read:
+            # A watch names nothing that has the same revision and another text.
+            self._next_full_read = now + FULL_READ_PERIOD_S * self._jitter()
+            return [events.ReadService(after - 1, 0.0)]
         is_watcher = self._members.is_watcher(now)
         wait_s = WATCH_WAIT_S if is_watcher and self._store.mark is not None else 0.0
-        return [events.ReadService(self._store.watch_after, wait_s)]
+        return [events.ReadService(after, wait_s)]
 
     def _note_read(self, now: float) -> None:
         self._is_reading = False
@@ -215,7 +224,10 @@
         """Return a jittered period that grows with the number of instances."""
         count = len(self._members.list_peers(0.0)) + 1
         period_s = max(shortest_s, per_instance_s * count)
-        return period_s * self._random.uniform(0.75, 1.25)
+        return period_s * self._jitter()
+
+    def _jitter(self) -> float:
+        return self._random.uniform(0.75, 1.25)
 
     def _note_currency(self, now: float) -> list[events.Action]:
         """Log when new work is held back and when it is let go again."""
@@ -397,7 +409,7 @@
 
     def _schedule_list(self, now: float) -> None:
         if self._members.is_watcher(now):
-            self._next_list = now + LIST_PERIOD_S * self._random.uniform(0.75, 1.25)
+            self._next_list = now + LIST_PERIOD_S * self._jitter()
         else:
             self._next_list = now + self._stretch(
                 READ_PERIOD_MIN_S, READ_PERIOD_PER_INSTANCE_S
--- a/acacialatch/records.py
+++ b/acacialatch/records.py
@@ -307,6 +307,32 @@
     return result.Err(Problem(len(lines) + 1, "sha256", "the record is cut short"))
 
 
+class _LogLine(typing.TypedDict):
+    answer_id: str
+    record: str
+
+
+def find_in_log(data: bytes, answer_id: str) -> typing.Iterator[bytes]:
+    """Yield the records in a log.
+
+    Parameters
+    ----------
+    data : bytes
+        Content of the log, one JSON object in each line.
+    answer_id : str
+        Answer whose record is wanted; empty for all.
+    """
+    for line in data.splitlines():
+        if b'"record"' not in line:
+            continue
+        try:
+            message = msgspec.json.decode(line, type=_LogLine)
+        except msgspec.MsgspecError:
+            continue
+        if answer_id in ("", message["answer_id"]):
+            yield message["record"].encode()
+
+
 def _verify(number: int, line: bytes, chain: digests.Chain) -> Problem | None:
     content = digests.remove_check(line)
     if content is None:
