--- a/acacialatch/leases.py
+++ b/acacialatch/leases.py
@@ -226,9 +226,6 @@
             return
         self._former_limits.append((self._limit, now + ABSTENTION_S))
         self._limit = limit
-        for bid in self._bids:
-            if not self._has_majority(now, bid):
-                bid.since = None
 
     def note_pause(self, now: float) -> None:
         """Give up all leases, since they may have expired unnoticed."""
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -82,6 +82,17 @@
         assert candidate.list_owned(1.2) == ()
 
 
+def test_lease_that_lapsed_counts_anew():
+    """Guards against an owner that skips its wait after another one's lease."""
+    candidate = make_candidate(1)
+    collect(candidate, 0.0, ["a"], 1)
+    collect(candidate, 2.0, ["a"], 1)
+    assert candidate.held_for(2.0, GROUP) == pytest.approx(2.0)
+    collect(candidate, 5.0, ["a"], 1)
+    assert candidate.holds(5.0, GROUP)
+    assert candidate.held_for(5.0, GROUP) == 0.0
+
+
 def test_split_votes_are_given_back():
     """Guards against two candidates that renew half of the votes for ever."""
     candidate = make_candidate(4)
