Probe a leaving server only after a delay, whoever reports it

Cause: a server that was reported as leaving by a reply or a peer was due for a probe at once; only the drain signal and the list set the delay. Conclusion: the new test fails without the change and passes with it.

--- a/acacialatch/servers.py
+++ b/acacialatch/servers.py
@@ -73,7 +73,7 @@
                 is_listed = replica.zone not in configuration.zones_out
                 changes += self._list(now, service, replica, is_listed)
         for address in [key for key in self._rows if key not in wanted]:
-            changes += self._remove(address)
+            changes += self._remove(now, address)
         self._windows = {
             name: window
             for name, window in self._windows.items()
@@ -150,7 +150,7 @@
             self._note_request(now, row, run, latency_s)
         row.raise_phase(now)
         cause = "restart" if is_restart else f"reply {stated.value}"
-        return self._finish(row, before, cause, is_restart)
+        return self._finish(now, row, before, cause, is_restart)
 
     def observe_failure(
         self,
@@ -186,7 +186,7 @@
         else:
             row.silent = row.next_probe = now
         row.is_tried = False
-        return self._finish(row, before, cause.value)
+        return self._finish(now, row, before, cause.value)
 
     def observe_drain(self, now: float, address: str) -> list[Change]:
         """Note the drain signal of a server; it holds for its incarnation."""
@@ -198,8 +198,7 @@
             run.phase = server_facts.Phase.LEAVING
         if not row.runs.open:
             row.drained = now
-        row.next_probe = now + serverrows.LEAVING_PROBE_S
-        return self._finish(row, before, "drain signal")
+        return self._finish(now, row, before, "drain signal")
 
     def set_listed_leaving(
         self, now: float, addresses: typing.Collection[str]
@@ -211,11 +210,8 @@
         changes: list[Change] = []
         for row in self._rows.values():
             before = row.state()
-            is_leaving = row.address in addresses
-            if is_leaving and not row.listed_leaving:
-                row.next_probe = now + serverrows.LEAVING_PROBE_S
-            row.listed_leaving = is_leaving
-            changes += self._finish(row, before, "instance list")
+            row.listed_leaving = row.address in addresses
+            changes += self._finish(now, row, before, "instance list")
         return changes
 
     def state(self, now: float, address: str) -> model.ServerState:
@@ -353,7 +349,7 @@
             trust_progress = now >= row.distrust_until
             if row.runs.merge(now, peer, fact, trust_progress):
                 row.raise_phase(now)
-                changes += self._finish(row, before, f"peer {peer}")
+                changes += self._finish(now, row, before, f"peer {peer}")
         return changes
 
     def _list(
@@ -375,16 +371,16 @@
             row.return_cold(now, was_known)
         row.zone, row.service, row.shape = replica.zone, service.name, service.shape
         row.is_listed, row.is_removed = is_listed, False
-        return self._finish(row, before, "configuration")
+        return self._finish(now, row, before, "configuration")
 
-    def _remove(self, address: str) -> list[Change]:
+    def _remove(self, now: float, address: str) -> list[Change]:
         row = self._rows[address]
         before = row.state()
         row.is_listed = False
         if row.is_removed and row.in_flight == 0:
             del self._rows[address]
         row.is_removed = True
-        return self._finish(row, before, "configuration")
+        return self._finish(now, row, before, "configuration")
 
     def _note_run(
         self,
@@ -423,6 +419,7 @@
 
     def _finish(
         self,
+        now: float,
         row: serverrows.Row,
         before: model.ServerState,
         cause: str,
@@ -432,6 +429,8 @@
         after = row.state()
         if before is after and not is_restart:
             return []
+        if after is model.ServerState.LEAVING:
+            row.next_probe = now + serverrows.LEAVING_PROBE_S
         if row.is_listed:
             self._queue.add(row.address)
         return [Change(row.address, before, after, cause)]
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -234,6 +234,9 @@
     assert table.state(27.0, A) is LEAVING
     table.set_listed_leaving(28.0, ())
     assert table.state(28.0, A) is COLD
+    reply(table, 40.0, "y", LEAVING)
+    assert table.may_send(40.0, A) == (False, "leaving")
+    assert not table.is_probe_due(40.0, A)
 
 
 def test_peer_facts_about_unseen_incarnations():
