Let a request that has begun use its own slot

Cause: directly before the first byte the ledger checks that the replica is still offered, and the view left it out because the request itself held the only slot. The test failed before (503) and passes now.

--- a/acacialatch/dispatch.py
+++ b/acacialatch/dispatch.py
@@ -176,6 +176,16 @@
             return _COLD_BUDGET
         return ""
 
+    def may_finish(self, now: float, address: str) -> bool:
+        """Return whether a send that has begun may still write its first byte.
+
+        Its slot and its permit are taken already.
+        """
+        if not self.is_current(now):
+            return False
+        allowed, _ = self.table.may_send(now, address)
+        return allowed or self._may_probe(now, address)
+
     def begin(
         self,
         now: float,
--- a/acacialatch/submissions.py
+++ b/acacialatch/submissions.py
@@ -27,6 +27,7 @@
 class _Sent(typing.NamedTuple):
     request_id: str
     call_id: str
+    address: str
 
 
 class SubmissionRunner:
@@ -113,6 +114,9 @@
         if sent is None:
             return False, []
         view = self._make_view(now, self._texts[sent.request_id])
+        if self._dispatcher.may_finish(now, sent.address):
+            option = requestdata.ReplicaOption(sent.address, proved_at)
+            view = view._replace(replicas=(option, *view.replicas))
         permission = self._ledger.note_sent(now, sent.request_id, proved_at, view)
         if isinstance(permission, result.Ok):
             return True, []
@@ -203,7 +207,7 @@
             return self._ledger.note_lost(now, send.request_id, view)
         self._texts[send.request_id] = arrived
         send_id = begun.send_id
-        self._sent[send_id] = _Sent(send.request_id, send.caller)
+        self._sent[send_id] = _Sent(send.request_id, send.caller, send.address)
         self._send_ids[send.request_id] = send_id
         actions.append(_make_send(now, begun, send, arrived))
         return []
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -261,6 +261,17 @@
     assert world.fleet.count("requests_run") == 1
 
 
+async def test_request_runs_where_each_server_has_one_slot(world, autojump_clock):
+    """Guards against a request that is refused because it holds the slot itself."""
+    text = make_text().replace(b"slots = 8", b"slots = 1")
+    world.fleet.platform.publish(text)
+    await trio.sleep(1)
+    entry = world.fleet.entries["entry-1"]
+    body = {"key": 10, "body": "lathe 7"}
+    status, _ = await entry.post("/v1/request/desk", body, await issue_key(entry))
+    assert status == 200
+
+
 async def test_refused_request_is_not_run(world, autojump_clock):
     """Guards against "not run" for a request that a server has run."""
     entry = world.fleet.entries["entry-1"]
