Send work only to servers heard from in the last 2.5 s

Cause: test_leaving_server_gets_no_new_work found one sub-request 3.25 s after a server began to leave. No entry instance had exchanged anything with it, so none had seen its drain signal; the other replica had taken all work. Ruled out: lost or late facts (the other two entry instances knew 0.05 s after the first reply). Servers of services in use now get a status probe after 1.2 s without news, and work for a server without news for 2.5 s waits for a probe.

--- a/acacialatch/control.py
+++ b/acacialatch/control.py
@@ -44,8 +44,11 @@
 EAGER_PERIOD_MIN_S = 1.0
 EAGER_PERIOD_PER_INSTANCE_S = 0.005
 
-STALE_NEWS_S = 2.0
-"""A leaf of which nothing was heard for this long gets a status probe."""
+NEWS_REFRESH_S = 1.2
+"""A server of a service in use gets a status probe after this time without news."""
+
+IDLE_NEWS_S = 10.0
+"""A service that is not in use gets a status probe after this time without news."""
 
 PROBE_ROUND_TICKS = 5
 """Each tick looks at this fraction of the servers, to bound its processor time."""
@@ -436,6 +439,17 @@
         self._probes.pop(event.send_id, None)
         return []
 
+    def send_wanted_probes(self, now: float) -> list[events.Action]:
+        """Probe the servers whose news are too old for work that waits."""
+        wanted, self._dispatcher.wanted_probes = self._dispatcher.wanted_probes, set()
+        probed = set(self._probes.values())
+        actions: list[events.Action] = []
+        for address in sorted(wanted - probed):
+            service = self._dispatcher.find_service(address)
+            if service is not None:
+                actions += self._probe(now, service, address)
+        return actions
+
     def _send_probes(self, now: float) -> list[events.Action]:
         actions: list[events.Action] = []
         probed = set(self._probes.values())
@@ -449,16 +463,27 @@
     def _list_due(self, now: float, service: model.Service) -> list[str]:
         addresses = [replica.address for replica in service.replicas]
         due = [address for address in addresses if self._is_due(now, address)]
-        heard = [self._table.last_heard(address) for address in addresses]
-        latest = max((time for time in heard if time is not None), default=None)
-        if due or (latest is not None and now - latest < STALE_NEWS_S):
+        if due:
             return due
         ready = [
             address
             for address in addresses
             if self._table.state(now, address) is model.ServerState.READY
         ]
-        return [self._random.choice(ready)] if ready else []
+        if self._dispatcher.is_used(now, service.name):
+            return [
+                address
+                for address in ready
+                if self._silence(now, address) > NEWS_REFRESH_S
+            ]
+        if all(self._silence(now, address) > IDLE_NEWS_S for address in addresses):
+            return ready[:1]
+        return []
+
+    def _silence(self, now: float, address: str) -> float:
+        """Return the time since the last reply of a server, in seconds."""
+        heard = self._table.last_heard(address)
+        return float("inf") if heard is None else now - heard
 
     def _is_due(self, now: float, address: str) -> bool:
         """Return whether a status probe would tell something.
--- a/acacialatch/dispatch.py
+++ b/acacialatch/dispatch.py
@@ -28,6 +28,16 @@
 
 SHED_STATUS = 503
 
+NEWS_MAX_S = 2.5
+"""Work goes only to servers heard from within this time.
+
+A server that drains says so in its replies. Without this bound, the first work after
+a quiet time could reach a server that has been leaving for longer than 3 s.
+"""
+
+USED_S = 10.0
+"""A service counts as in use for this time after a query, in seconds."""
+
 IDLE_TRUST_S = 3.0
 """An idle connection counts for this time; the client closes it after 4 s."""
 
@@ -130,6 +140,8 @@
         self.shares = shares
         self.peers_known = False
         self.demand: dict[str, Demand] = {}
+        self.wanted_probes: set[str] = set()
+        self._used: dict[str, float] = {}
         self._services: dict[str, model.Service] = {}
         self._idle: dict[str, int] = {}
         self._sent: dict[int, Sent] = {}
@@ -168,6 +180,9 @@
         allowed, reason = self.table.may_send(now, address)
         if not allowed and not self._may_probe(now, address):
             return reason
+        if self.is_stale(now, address):
+            self.wanted_probes.add(address)
+            return STALE_NEWS
         if self.table.in_flight(address) >= self._limit(service):
             return "slots"
         if self.table.needs_permit(now, address) and not self._has_permits(
@@ -176,6 +191,26 @@
             return _COLD_BUDGET
         return ""
 
+    def is_stale(self, now: float, address: str) -> bool:
+        """Return whether a server must be probed before it gets work.
+
+        A cold server whose incarnation is known is exempt: a probe would use up the
+        budget that the work needs.
+        """
+        is_cold = self.table.state(now, address) is model.ServerState.COLD
+        if is_cold and self.table.incarnation(address):
+            return False
+        heard = self.table.last_heard(address)
+        return heard is None or now - heard > NEWS_MAX_S
+
+    def note_use(self, now: float, service: str) -> None:
+        """Note that a query or request needs a leaf service."""
+        self._used[service] = now
+
+    def is_used(self, now: float, service: str) -> bool:
+        """Return whether a leaf service was needed lately."""
+        return now - self._used.get(service, float("-inf")) <= USED_S
+
     def may_finish(self, now: float, address: str) -> bool:
         """Return whether a send that has begun may still write its first byte.
 
@@ -301,6 +336,10 @@
             for replica in service.replicas
         }
 
+    def find_service(self, address: str) -> model.Service | None:
+        """Return the leaf service of a server, if it is listed."""
+        return self._services.get(address)
+
     def connection_share(self, address: str) -> int:
         """Return the most connections to a server; 0 for one that is not listed."""
         service = self._services.get(address)
@@ -386,6 +425,9 @@
 
 _COLD_BUDGET = "cold_budget"
 
+STALE_NEWS = "stale_news"
+"""Reason of a candidate that gets a status probe before it may be used."""
+
 
 def note_changes(changes: typing.Iterable[servers.Change]) -> list[events.Action]:
     """Return the audit actions for transitions of backend servers."""
--- a/acacialatch/engine.py
+++ b/acacialatch/engine.py
@@ -173,9 +173,15 @@
         actions = self._tick(now) if now >= self._next_tick else []
         actions += self._dispatch(now, event)
         if self._owner.take_news():
-            actions += self._queries.look_again(now)
+            actions += self._look_again(now)
+        if self._dispatcher.wanted_probes:
+            actions += self._control.send_wanted_probes(now)
         return actions
 
+    def _look_again(self, now: float) -> list[events.Action]:
+        """Offer replicas to work that waits for one."""
+        return self._queries.look_again(now) + self._submissions.look_again(now)
+
     def _dispatch(self, now: float, event: events.Event) -> list[events.Action]:
         match event:
             case events.LoopTicked():
@@ -258,6 +264,7 @@
             actions += self._submissions.receive(now, event)
         elif self._control.owns(event.send_id):
             actions += self._control.receive_probe(now, event)
+            actions += self._look_again(now)
         return actions + self._follow_changes(now, actions)
 
     def _fail(self, now: float, event: events.SendFailed) -> list[events.Action]:
@@ -268,6 +275,7 @@
             actions += self._submissions.fail(now, event)
         elif self._control.owns(event.send_id):
             actions += self._control.receive_probe(now, event)
+            actions += self._look_again(now)
         return actions + self._follow_changes(now, actions)
 
     def _follow_changes(
@@ -275,7 +283,7 @@
     ) -> list[events.Action]:
         """Offer replicas to waiting parts after a server changed its state."""
         if any(isinstance(action, events.NoteChange) for action in actions):
-            return self._queries.look_again(now)
+            return self._look_again(now)
         return []
 
     def allow_first_byte(
@@ -307,7 +315,7 @@
         configuration = self._store.configuration
         if configuration is not None and self._store.mark != before:
             self._queries.set_configuration(configuration)
-            actions += self._queries.look_again(now)
+            actions += self._look_again(now)
         return actions
 
     def _leave(self, now: float) -> list[events.Action]:
--- a/acacialatch/queries.py
+++ b/acacialatch/queries.py
@@ -373,6 +373,7 @@
             self._dispatcher.make_candidate(now, service, replica)
             for replica in service.replicas
         )
+        self._dispatcher.note_use(now, service.name)
         self._dispatcher.note_demand(now, candidates)
         delay_s = self._dispatcher.table.hedge_delay(service.name)
         return attempts.View(
--- a/acacialatch/submissions.py
+++ b/acacialatch/submissions.py
@@ -23,6 +23,9 @@
 
 LATENCY_FLOOR_S = 0.001
 
+PROBE_WAIT_S = 1.0
+"""Longest wait for the status probe of a server, in seconds."""
+
 
 class _Sent(typing.NamedTuple):
     request_id: str
@@ -51,6 +54,7 @@
         self._ledger = ledger
         self._list_peers = list_peers
         self._arrived: dict[str, events.RequestArrived] = {}
+        self._waiting: dict[str, float] = {}
         self._sent: dict[int, _Sent] = {}
         self._send_ids: dict[str, int] = {}
         # The text of a request outlives its caller until the attempt ends.
@@ -63,15 +67,47 @@
     def next_timer(self) -> float:
         """Return the time in seconds at which `wake` must be called."""
         time = self._ledger.next_timer()
-        return float("inf") if time is None else time
+        times = [float("inf") if time is None else time, *self._waiting.values()]
+        return min(times)
 
     def issue_key(self, now: float) -> result.Result[str, errors.Failure]:
         """Issue an idempotency key."""
         return self._ledger.issue_key(now)
 
     def start(self, now: float, arrived: events.RequestArrived) -> list[events.Action]:
-        """Take a request of a caller or a peer."""
+        """Take a request of a caller or a peer.
+
+        It waits for a short time if all its replicas need a status probe first.
+        """
         self._arrived[arrived.call_id] = arrived
+        if self._must_wait(now, arrived):
+            give_up_at = min(now + PROBE_WAIT_S, arrived.deadline)
+            self._waiting[arrived.call_id] = give_up_at
+            return [events.CountMetric("requests")]
+        return [events.CountMetric("requests"), *self._begin(now, arrived)]
+
+    def look_again(self, now: float) -> list[events.Action]:
+        """Begin the requests that waited for a status probe."""
+        actions: list[events.Action] = []
+        for call_id, give_up_at in list(self._waiting.items()):
+            arrived = self._arrived[call_id]
+            if now >= give_up_at or not self._must_wait(now, arrived):
+                del self._waiting[call_id]
+                actions += self._begin(now, arrived)
+        return actions
+
+    def _must_wait(self, now: float, arrived: events.RequestArrived) -> bool:
+        service = self._find_leaf(arrived)
+        if service is None:
+            return False
+        self._dispatcher.note_use(now, service.name)
+        reasons = [
+            self._dispatcher.make_candidate(now, service, replica).reason
+            for replica in service.replicas
+        ]
+        return dispatch.STALE_NEWS in reasons and "" not in reasons
+
+    def _begin(self, now: float, arrived: events.RequestArrived) -> list[events.Action]:
         request = requestdata.Request(
             arrived.call_id,
             arrived.idempotency_key,
@@ -82,11 +118,11 @@
             arrived.hops > 0,
         )
         view = self._make_view(now, arrived)
-        actions = self._carry_out(now, self._ledger.begin(now, request, view))
-        return [events.CountMetric("requests"), *actions]
+        return self._carry_out(now, self._ledger.begin(now, request, view))
 
     def abandon(self, now: float, call_id: str) -> list[events.Action]:
         """Take that the caller of a request closed its connection."""
+        self._waiting.pop(call_id, None)
         actions = self._carry_out(now, self._ledger.drop_caller(now, call_id))
         self._arrived.pop(call_id, None)
         return actions
@@ -166,11 +202,15 @@
 
     def wake(self, now: float) -> list[events.Action]:
         """Apply deadlines that have passed."""
-        return self._carry_out(now, self._ledger.expire(now))
+        return self.look_again(now) + self._carry_out(now, self._ledger.expire(now))
 
     def finish_all(self, now: float) -> list[events.Action]:
         """Answer every caller truthfully at once."""
-        return self._carry_out(now, self._ledger.shut_down(now))
+        actions = self._carry_out(now, self._ledger.shut_down(now))
+        for call_id in list(self._waiting):
+            del self._waiting[call_id]
+            actions += self._begin(now, self._arrived[call_id])
+        return actions
 
     def _carry_out(
         self, now: float, decided: list[requestdata.Action]
