--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Comparisons in virtual time."""
