--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,6 +1,8 @@
 """Tests for acacialatch.wire; test_peers covers the messages."""
 
+import collections
 import logging
+import socket
 
 import trio
 import trio_asyncio
@@ -22,3 +24,40 @@
     assert reports[0] == "plain: None"
     assert "ZeroDivisionError" in reports[1]
     assert caplog.records == []
+
+
+async def test_server_sends_without_delay():
+    """Guards against replies held back for 40 ms by Nagle's algorithm."""
+    options = []
+
+    class Server(wire.Server):
+        def _protocol_factory(self):
+            protocol = super()._protocol_factory()
+            made = protocol.connection_made
+
+            def connection_made(transport):
+                made(transport)
+                end = transport.get_extra_info("socket")
+                level, name = socket.IPPROTO_TCP, socket.TCP_NODELAY
+                options.append(end.getsockopt(level, name))
+                accepted.set()
+
+            protocol.connection_made = connection_made
+            return protocol
+
+    async def serve(listener):
+        server = Server(wire.Service({}, collections.Counter(), 1_000), None)
+        await server.start(sock=listener)
+        return server
+
+    accepted = trio.Event()
+    with trio.fail_after(5):
+        async with wire.open_loop(options.append):
+            listener = wire.bind("127.0.0.1:0")
+            host, port = listener.getsockname()
+            server = await trio_asyncio.aio_as_trio(serve)(listener)
+            async with await trio.open_tcp_stream(host, port):
+                await accepted.wait()
+            server.close()
+            server.close_connections()
+    assert options == [1]
