Correct the size given for the default record bound

A query of 59 parts with two replicas each takes 28,890 bytes for 119 steps, so the bound holds about 1,000.

Ruled out: a larger bound; a query of 59 parts takes a ninth of it.

--- a/acacialatch/records.py
+++ b/acacialatch/records.py
@@ -13,7 +13,7 @@
 """Number of the record format."""
 
 RECORD_BYTES_MAX = 262_144
-"""Default bound of a record, in bytes; about 2,000 steps."""
+"""Default bound of a record, in bytes; about 1,000 steps with two replicas."""
 
 RECORD_BYTES_MIN = 4_096
 """Smallest bound of a record, in bytes; room for the header and the end."""
