--- a/acacialatch/plans.py
+++ b/acacialatch/plans.py
@@ -38,8 +38,8 @@
 def check_successor(old: attempts.Plan, new: attempts.Plan) -> str | None:
     """Return why a query may not restart with a new plan, or None.
 
-    The new plan must be usable, newer in the version of at least one index, older
-    in none, and must cover every key of the old one.
+    The new plan must be usable, newer in the version or the partition map of at least
+    one index, older in none, and must cover every key of the old one.
     """
     problem = check_plan(new)
     if problem is not None:
@@ -52,11 +52,20 @@
         if versions.get(index, version - 1) < version:
             return f"the version of index {index!r} is older or missing"
         newer = newer or versions[index] > version
+    before, after = _list_maps(old), _list_maps(new)
+    for index, number in before.items():
+        if after.get(index, number) < number:
+            return f"the partition map of index {index!r} is older"
+        newer = newer or after.get(index, number) > number
     if not newer:
-        return "no version is newer"
+        return "no version and no partition map is newer"
     return _check_kept_keys(old, new)
 
 
+def _list_maps(plan: attempts.Plan) -> dict[str, int]:
+    return {part.index: part.partition_map for part in plan.parts}
+
+
 def _check_kept_keys(old: attempts.Plan, new: attempts.Plan) -> str | None:
     kept = _merge_ranges(new)
     for index, ranges in _merge_ranges(old).items():
