Leave a young sub-request that is no longer needed to finish

Cause: an urgent query that has its rows cancels up to 49 sub-requests by closing their connections, and the loser of a hedge does the same; each costs a new connection of 6 ms. A send younger than the hedge delay now finishes, and its connection is used again.

--- a/acacialatch/queries.py
+++ b/acacialatch/queries.py
@@ -430,19 +430,27 @@
         sent = None if send_id is None else self._sent.pop(send_id, None)
         if send_id is None or sent is None:
             return
-        self._actions.append(events.CancelSend(send_id))
-        self._actions += self._end_send(now, active, attempt, send_id)
+        limit_s = active.timeouts.pop(attempt, float("inf"))
+        self._give_up_send(now, send_id, sent.service, limit_s)
         self._schedule_look(now, 0.0)
 
-    def _end_send(
-        self, now: float, active: _Active, attempt: int, send_id: int
-    ) -> list[events.Action]:
-        """Account for a cancelled send; one past its timeout went silent."""
+    def _give_up_send(
+        self, now: float, send_id: int, service: str, limit_s: float
+    ) -> None:
+        """End a send whose reply is no longer needed.
+
+        One past its time limit went silent. A younger one than the hedge delay is left
+        to finish, since closing its connection costs more than the reply.
+        """
         started = self._dispatcher.started_at(send_id)
-        limit_s = active.timeouts.pop(attempt, float("inf"))
-        if started is not None and now - started >= limit_s:
-            return self._dispatcher.end_timed_out(now, send_id)
-        return self._dispatcher.end_cancelled(now, send_id)
+        age_s = 0.0 if started is None else now - started
+        if age_s < min(limit_s, self._dispatcher.table.hedge_delay(service)):
+            return
+        self._actions.append(events.CancelSend(send_id))
+        if age_s >= limit_s:
+            self._actions += self._dispatcher.end_timed_out(now, send_id)
+        else:
+            self._actions += self._dispatcher.end_cancelled(now, send_id)
 
     def _queue(self, now: float, active: _Active, part: int) -> None:
         assert active.plan is not None
@@ -505,10 +513,11 @@
         active.finished = True
         answer_id = active.query.answer_id
         del self._active[answer_id]
-        for send_id in active.sends.values():
-            if self._sent.pop(send_id, None) is not None:
-                self._actions.append(events.CancelSend(send_id))
-                self._actions += self._dispatcher.end_cancelled(now, send_id)
+        for attempt, send_id in active.sends.items():
+            sent = self._sent.pop(send_id, None)
+            if sent is not None:
+                limit_s = active.timeouts.get(attempt, float("inf"))
+                self._give_up_send(now, send_id, sent.service, limit_s)
         if active.writer is not None:
             data = active.writer.finish()
             self._actions.append(events.WriteRecord(answer_id, data))
