--- a/acacialatch/budgets.py
+++ b/acacialatch/budgets.py
@@ -1,9 +1,12 @@
 """Budgets that bound hedges and retries.
 
 Both budgets count in integers, so no rounding error accumulates over a long run.
-Neither depends on time: the bounds hold in any window, the worst second included.
+The buckets do not depend on time: their bounds hold in any window, the worst second
+included. Only one retry in `RETRY_TRICKLE_S` for each service comes on top.
 """
 
+from acacialatch import model
+
 HEDGE_NUMERATOR = 5
 HEDGE_DENOMINATOR = 100
 # One query of 59 sub-requests earns about 3 tokens. At 8,500 sub-requests a second
@@ -12,6 +15,10 @@
 
 # Values of gRPC A6: a failure costs 1 token, a success returns 0.1.
 RETRY_TOKENS = 10
+# Time between retries of one service while its throttle allows none, in seconds.
+# Without it, a service that only has lookups would never be retried after an outage,
+# since nothing would refill the throttle.
+RETRY_TRICKLE_S = 0.1
 _UNITS_PER_TOKEN = 10
 _UNITS_PER_SUCCESS = 1
 
@@ -123,3 +130,62 @@
     def allows_retry(self) -> bool:
         """Return whether the failure just noted may be retried."""
         return 2 * self._units > self._full
+
+
+class SubRequestBudgets:
+    """Budgets of extra sub-requests: hedges in all, retries for each service.
+
+    Parameters
+    ----------
+    policy : model.Policy
+        Limits of the configuration.
+    """
+
+    def __init__(self, policy: model.Policy) -> None:
+        self._hedges = TokenBucket(*policy.hedge_budget)
+        self._tokens = policy.retry_tokens
+        self._throttles: dict[str, RetryThrottle] = {}
+        self._trickled: dict[str, float] = {}
+
+    def note_first(self) -> None:
+        """Note the first send of a sub-request, which earns part of a hedge."""
+        self._hedges.earn()
+
+    def allows_hedge(self) -> bool:
+        """Return whether `take_hedge` would succeed."""
+        return self._hedges.can_take()
+
+    def take_hedge(self) -> bool:
+        """Take the token for a hedge if there is one."""
+        return self._hedges.take()
+
+    def note_reply(self, service: str) -> None:
+        """Note a sub-request that was answered."""
+        self._find(service).note_success()
+
+    def note_failure(self, service: str) -> None:
+        """Note a sub-request that failed."""
+        self._find(service).note_failure()
+
+    def allows_retry(self, now: float, service: str) -> bool:
+        """Return whether a failed sub-request may be sent again.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        service : str
+            Name of the leaf service.
+        """
+        if self._find(service).allows_retry():
+            return True
+        if now - self._trickled.get(service, float("-inf")) < RETRY_TRICKLE_S:
+            return False
+        self._trickled[service] = now
+        return True
+
+    def _find(self, service: str) -> RetryThrottle:
+        throttle = self._throttles.get(service)
+        if throttle is None:
+            throttle = self._throttles[service] = RetryThrottle(self._tokens)
+        return throttle
--- /dev/null
+++ b/acacialatch/changes.py
@@ -0,0 +1,59 @@
+"""Changes of state as actions for the audit trail and the log."""
+
+import typing
+
+from acacialatch import events, membership, revisions, servers
+
+
+def note_server_changes(
+    changes: typing.Iterable[servers.Change],
+) -> list[events.Action]:
+    """Return the audit actions for transitions of backend servers."""
+    return [
+        events.NoteChange(
+            f"server {change.address}",
+            change.before.value,
+            change.after.value,
+            change.cause,
+        )
+        for change in changes
+    ]
+
+
+def note_revision_change(change: revisions.Change) -> list[events.Action]:
+    """Return the actions for a change of the configuration or of its freshness."""
+
+    def show(mark: revisions.Mark | None) -> str:
+        return "none" if mark is None else f"{mark.revision}/{mark.sha256[:12]}"
+
+    actions: list[events.Action] = [
+        events.NoteChange(
+            "configuration",
+            show(change.before),
+            show(change.after),
+            f"{change.cause.value} from {change.source}",
+        ),
+    ]
+    if change.cause is revisions.Cause.REFUSED:
+        actions.append(events.CountMetric("configuration_refused"))
+    offered = show(change.offered) if change.offered else show(change.after)
+    text = f"revision {offered} {change.cause.value}, source {change.source}"
+    actions.append(events.WriteLog("config:", text))
+    for problem in change.notes[:3]:
+        actions.append(events.WriteLog("config:", str(problem)))
+    return actions
+
+
+def note_member_changes(
+    changes: typing.Iterable[membership.Change],
+) -> list[events.Action]:
+    """Return the actions for changes of the list of entry instances."""
+    return [
+        events.NoteChange(
+            f"entry {change.name}",
+            change.before,
+            change.after,
+            f"{change.cause.value} by {change.source}",
+        )
+        for change in changes
+    ]
--- a/acacialatch/control.py
+++ b/acacialatch/control.py
@@ -1,11 +1,11 @@
-"""Control work: configuration, membership, digests and status probes."""
+"""Control work: configuration, membership and digests."""
 
 import random
-import typing
 
 import msgspec
 
 from acacialatch import (
+    changes,
     dispatch,
     events,
     facts,
@@ -15,6 +15,7 @@
     model,
     ownership,
     permits,
+    probes,
     revisions,
 )
 
@@ -44,16 +45,6 @@
 EAGER_PERIOD_MIN_S = 1.0
 EAGER_PERIOD_PER_INSTANCE_S = 0.005
 
-NEWS_REFRESH_S = 1.2
-"""A server of a service in use gets a status probe after this time without news."""
-
-IDLE_NEWS_S = 10.0
-"""A service that is not in use gets a status probe after this time without news."""
-
-PROBE_ROUND_TICKS = 5
-"""Each tick looks at this fraction of the servers, to bound its processor time."""
-
-PROBE_TIMEOUT_S = 1.0
 UNKNOWN_ASKED_MAX = 16
 
 _Facts = tuple[tuple[str, ...], tuple[facts.Fact, ...]]
@@ -70,6 +61,8 @@
         Entry instances.
     owner : ownership.Ownership
         Leases and permits.
+    prober : probes.Prober
+        Status probes.
     now : float
         Start of the process on the runtime clock, in seconds.
     seed : int
@@ -81,6 +74,7 @@
         dispatcher: dispatch.Dispatcher,
         members: membership.Membership,
         owner: ownership.Ownership,
+        prober: probes.Prober,
         now: float,
         seed: int,
     ):
@@ -89,6 +83,7 @@
         self._table = dispatcher.table
         self._members = members
         self._owner = owner
+        self._prober = prober
         self._started = now
         self._random = random.Random(seed)
         self._incarnation = dispatcher.identity.incarnation
@@ -102,16 +97,9 @@
         self._last_digest = now
         self._round = 0
         self._exchanging: set[str] = set()
-        self._probes: dict[int, str] = {}
-        self._probe_turn = 0
-        self._leaves: list[model.Service] = []
         self._is_leaving = False
         self._restrained: str = ""
 
-    def owns(self, send_id: int) -> bool:
-        """Return whether a send is a status probe."""
-        return send_id in self._probes
-
     def set_leaving(self, now: float) -> None:
         """Announce that this entry instance is shutting down, at once."""
         self._is_leaving = True
@@ -125,13 +113,13 @@
         if change is not None:
             self._owner.note_pause(now)
             self._next_read = self._next_digest = now
-            actions += _note_revision_change(change)
+            actions += changes.note_revision_change(change)
         self._dispatcher.peers_known = self._members.knows_peers(now)
         actions += self._note_currency(now)
         actions += self._read_service(now)
         actions += self._list_instances(now)
         actions += self._send_digests(now)
-        actions += self._send_probes(now)
+        actions += self._prober.tick(now)
         return actions
 
     # Configuration.
@@ -145,7 +133,7 @@
             self._note_read(now)
         outcome = self._store.offer(now, event.revision, event.text, event.source)
         if outcome.change is not None:
-            actions += _note_revision_change(outcome.change)
+            actions += changes.note_revision_change(outcome.change)
         if outcome.verdict is revisions.Verdict.ACCEPTED:
             actions += self._apply(now)
         mark = revisions.Mark(event.revision, revisions.hash_text(event.text))
@@ -157,7 +145,7 @@
             is_source_current=event.is_source_current,
         )
         if confirmation.change is not None:
-            actions += _note_revision_change(confirmation.change)
+            actions += changes.note_revision_change(confirmation.change)
         return actions
 
     def note_service_answer(
@@ -170,7 +158,7 @@
         )
         if confirmation.change is None:
             return []
-        return _note_revision_change(confirmation.change)
+        return changes.note_revision_change(confirmation.change)
 
     def note_service_failure(
         self, now: float, event: events.ServiceFailed
@@ -187,15 +175,13 @@
     def _apply(self, now: float) -> list[events.Action]:
         configuration = self._store.configuration
         assert configuration is not None
-        self._leaves = [
-            service for service in configuration.services.values() if service.is_leaf()
-        ]
-        changes = self._table.set_configuration(now, configuration)
+        self._prober.set_configuration(configuration)
+        moved = self._table.set_configuration(now, configuration)
         self._owner.set_configuration(now, configuration)
         self._dispatcher.set_configuration(configuration)
         # Peers learn of a change at once and not at the next period.
         self._next_digest = now
-        return dispatch.note_changes(changes)
+        return changes.note_server_changes(moved)
 
     def _read_service(self, now: float) -> list[events.Action]:
         is_eager = self._store.service_age(now) > SERVICE_AGE_MAX_S
@@ -268,9 +254,9 @@
             if item.role is model.InstanceRole.SERVER
             and item.state is model.InstanceState.LEAVING
         }
-        actions = _note_member_changes(self._members.update_list(now, listed))
-        changes = self._table.set_listed_leaving(now, leaving)
-        return actions + dispatch.note_changes(changes)
+        actions = changes.note_member_changes(self._members.update_list(now, listed))
+        moved = self._table.set_listed_leaving(now, leaving)
+        return actions + changes.note_server_changes(moved)
 
     def note_list_failure(self, now: float) -> list[events.Action]:
         """Take that a read of the instance list failed."""
@@ -314,7 +300,7 @@
             digest.leaving,
             digest.uptime_s,
         )
-        actions = _note_member_changes(self._members.hear(now, announcement))
+        actions = changes.note_member_changes(self._members.hear(now, announcement))
         self._dispatcher.peers_known = self._members.knows_peers(now)
         heard_at = now if asked_at == float("-inf") else asked_at
         self._store.merge_service_age(heard_at, digest.service_age_s)
@@ -336,7 +322,7 @@
         if confirmation.standing is revisions.Standing.BEHIND:
             return [events.FetchConfiguration(digest.peer_address, digest.instance)]
         if confirmation.change is not None:
-            return _note_revision_change(confirmation.change)
+            return changes.note_revision_change(confirmation.change)
         return []
 
     def _merge_facts(self, now: float, digest: messages.Digest) -> list[events.Action]:
@@ -346,8 +332,8 @@
             _, received = msgspec.msgpack.decode(digest.facts, type=_Facts)
         except msgspec.MsgspecError:
             return [events.CountMetric("peer_refused")]
-        changes = self._table.merge(now, digest.incarnation, received)
-        return dispatch.note_changes(changes)
+        moved = self._table.merge(now, digest.incarnation, received)
+        return changes.note_server_changes(moved)
 
     def _send_digests(self, now: float) -> list[events.Action]:
         is_wanted = bool(self._dispatcher.demand) and now >= self._last_digest + (
@@ -430,95 +416,6 @@
         ]
         return self._owner.ask(now, self._members.list_incarnations(now), demand)
 
-    # Status probes.
-
-    def receive_probe(
-        self, now: float, event: events.ServerReplied | events.SendFailed
-    ) -> list[events.Action]:
-        """Take the end of a status probe; the dispatcher has accounted for it."""
-        self._probes.pop(event.send_id, None)
-        return []
-
-    def send_wanted_probes(self, now: float) -> list[events.Action]:
-        """Probe the servers whose news are too old for work that waits."""
-        wanted, self._dispatcher.wanted_probes = self._dispatcher.wanted_probes, set()
-        probed = set(self._probes.values())
-        actions: list[events.Action] = []
-        for address in sorted(wanted - probed):
-            service = self._dispatcher.find_service(address)
-            if service is not None:
-                actions += self._probe(now, service, address)
-        return actions
-
-    def _send_probes(self, now: float) -> list[events.Action]:
-        actions: list[events.Action] = []
-        probed = set(self._probes.values())
-        for service in self._leaves[self._probe_turn :: PROBE_ROUND_TICKS]:
-            for address in self._list_due(now, service):
-                if address not in probed:
-                    actions += self._probe(now, service, address)
-        self._probe_turn = (self._probe_turn + 1) % PROBE_ROUND_TICKS
-        return actions
-
-    def _list_due(self, now: float, service: model.Service) -> list[str]:
-        addresses = [replica.address for replica in service.replicas]
-        due = [address for address in addresses if self._is_due(now, address)]
-        if due:
-            return due
-        ready = [
-            address
-            for address in addresses
-            if self._table.state(now, address) is model.ServerState.READY
-        ]
-        if self._dispatcher.is_used(now, service.name):
-            return [
-                address
-                for address in ready
-                if self._silence(now, address) > NEWS_REFRESH_S
-            ]
-        if all(self._silence(now, address) > IDLE_NEWS_S for address in addresses):
-            return ready[:1]
-        return []
-
-    def _silence(self, now: float, address: str) -> float:
-        """Return the time since the last reply of a server, in seconds."""
-        heard = self._table.last_heard(address)
-        return float("inf") if heard is None else now - heard
-
-    def _is_due(self, now: float, address: str) -> bool:
-        """Return whether a status probe would tell something.
-
-        Only answered requests warm a server, so a probe of a cold server would
-        waste its budget, unless nothing is known of the server yet.
-        """
-        is_cold = self._table.state(now, address) is model.ServerState.COLD
-        if is_cold and self._table.incarnation(address):
-            return False
-        return self._table.is_probe_due(now, address)
-
-    def _probe(
-        self, now: float, service: model.Service, address: str
-    ) -> list[events.Action]:
-        begun = self._dispatcher.begin(now, service, address, is_request=False)
-        if begun is None:
-            return []
-        send_id = begun.send_id
-        self._probes[send_id] = address
-        headers = (("x-request-id", f"probe-{send_id}"),)
-        return [
-            events.SendToServer(
-                send_id,
-                address,
-                "GET",
-                "/status",
-                headers,
-                b"",
-                PROBE_TIMEOUT_S,
-                may_connect=begun.may_connect,
-            ),
-            events.CountMetric("probes"),
-        ]
-
 
 def _read_wanted(asked: messages.Digest | None) -> tuple[str, ...]:
     """Return the servers that a peer knows nothing of and asks about."""
@@ -529,39 +426,3 @@
     except msgspec.MsgspecError:
         return ()
     return wanted[:UNKNOWN_ASKED_MAX]
-
-
-def _note_revision_change(change: revisions.Change) -> list[events.Action]:
-    def show(mark: revisions.Mark | None) -> str:
-        return "none" if mark is None else f"{mark.revision}/{mark.sha256[:12]}"
-
-    actions: list[events.Action] = [
-        events.NoteChange(
-            "configuration",
-            show(change.before),
-            show(change.after),
-            f"{change.cause.value} from {change.source}",
-        ),
-    ]
-    if change.cause is revisions.Cause.REFUSED:
-        actions.append(events.CountMetric("configuration_refused"))
-    offered = show(change.offered) if change.offered else show(change.after)
-    text = f"revision {offered} {change.cause.value}, source {change.source}"
-    actions.append(events.WriteLog("config:", text))
-    for problem in change.notes[:3]:
-        actions.append(events.WriteLog("config:", str(problem)))
-    return actions
-
-
-def _note_member_changes(
-    changes: typing.Iterable[membership.Change],
-) -> list[events.Action]:
-    return [
-        events.NoteChange(
-            f"entry {change.name}",
-            change.before,
-            change.after,
-            f"{change.cause.value} by {change.source}",
-        )
-        for change in changes
-    ]
--- a/acacialatch/dispatch.py
+++ b/acacialatch/dispatch.py
@@ -6,6 +6,7 @@
 
 from acacialatch import (
     allotments,
+    changes,
     events,
     model,
     revisions,
@@ -272,9 +273,9 @@
         sent = self._sent.pop(event.send_id, None)
         if sent is None:
             return []
-        changes = self.table.observe_end(now, sent.address)
+        moved = self.table.observe_end(now, sent.address)
         if event.news.incarnation:
-            changes = changes + self.table.observe_reply(
+            moved = moved + self.table.observe_reply(
                 now,
                 sent.address,
                 event.news.incarnation,
@@ -284,14 +285,14 @@
                 sent.is_request and event.status == 200,
             )
         if event.status == SHED_STATUS:
-            changes = changes + self.table.observe_failure(
+            moved = moved + self.table.observe_failure(
                 now,
                 sent.address,
                 servers.Cause.SHED,
                 event.is_new_connection,
                 event.news.retry_after_s,
             )
-        return note_changes(changes)
+        return changes.note_server_changes(moved)
 
     def end_with_failure(
         self, now: float, event: events.SendFailed
@@ -300,20 +301,20 @@
         sent = self._sent.pop(event.send_id, None)
         if sent is None:
             return []
-        changes = self.table.observe_end(now, sent.address)
+        moved = self.table.observe_end(now, sent.address)
         cause = _CAUSES.get(event.cause)
         if cause is not None:
-            changes = changes + self.table.observe_failure(
+            moved = moved + self.table.observe_failure(
                 now, sent.address, cause, event.is_new_connection
             )
-        return note_changes(changes)
+        return changes.note_server_changes(moved)
 
     def end_cancelled(self, now: float, send_id: int) -> list[events.Action]:
         """Account for a send that this entry instance cancelled."""
         sent = self._sent.pop(send_id, None)
         if sent is None:
             return []
-        return note_changes(self.table.observe_end(now, sent.address))
+        return changes.note_server_changes(self.table.observe_end(now, sent.address))
 
     def end_timed_out(self, now: float, send_id: int) -> list[events.Action]:
         """Account for a send that was given up because no reply came in time."""
@@ -427,16 +428,3 @@
 
 STALE_NEWS = "stale_news"
 """Reason of a candidate that gets a status probe before it may be used."""
-
-
-def note_changes(changes: typing.Iterable[servers.Change]) -> list[events.Action]:
-    """Return the audit actions for transitions of backend servers."""
-    return [
-        events.NoteChange(
-            f"server {change.address}",
-            change.before.value,
-            change.after.value,
-            change.cause,
-        )
-        for change in changes
-    ]
--- a/acacialatch/engine.py
+++ b/acacialatch/engine.py
@@ -15,6 +15,7 @@
     membership,
     model,
     ownership,
+    probes,
     queries,
     requests,
     revisions,
@@ -116,10 +117,12 @@
             ledger,
             lambda now: {peer.address for peer in self._members.list_peers(now)},
         )
+        self._prober = probes.Prober(self._dispatcher)
         self._control = control.Controller(
             self._dispatcher,
             self._members,
             self._owner,
+            self._prober,
             now,
             chance.getrandbits(32),
         )
@@ -175,7 +178,7 @@
         if self._owner.take_news():
             actions += self._look_again(now)
         if self._dispatcher.wanted_probes:
-            actions += self._control.send_wanted_probes(now)
+            actions += self._prober.send_wanted(now)
         return actions
 
     def _look_again(self, now: float) -> list[events.Action]:
@@ -262,8 +265,8 @@
             actions += self._queries.receive(now, event)
         elif self._submissions.owns(event.send_id):
             actions += self._submissions.receive(now, event)
-        elif self._control.owns(event.send_id):
-            actions += self._control.receive_probe(now, event)
+        elif self._prober.owns(event.send_id):
+            self._prober.end(event.send_id)
             actions += self._look_again(now)
         return actions + self._follow_changes(now, actions)
 
@@ -273,8 +276,8 @@
             actions += self._queries.fail(now, event)
         elif self._submissions.owns(event.send_id):
             actions += self._submissions.fail(now, event)
-        elif self._control.owns(event.send_id):
-            actions += self._control.receive_probe(now, event)
+        elif self._prober.owns(event.send_id):
+            self._prober.end(event.send_id)
             actions += self._look_again(now)
         return actions + self._follow_changes(now, actions)
 
--- a/acacialatch/queries.py
+++ b/acacialatch/queries.py
@@ -5,12 +5,9 @@
 import random
 import typing
 
-import result
-
 from acacialatch import (
     admission,
     attempts,
-    bodies,
     budgets,
     dispatch,
     errors,
@@ -20,6 +17,7 @@
     records,
     routing,
     scatter,
+    subrequests,
 )
 
 QUERIES_MAX = 2_000
@@ -32,16 +30,6 @@
 ATTEMPT_TIMEOUT_FACTOR = 10.0
 """An attempt is given up after this many hedge delays."""
 
-RETRY_TRICKLE_S = 0.1
-"""Time between retries of one service while its throttle allows none, in seconds.
-
-Without it, a service that only has lookups would never be retried after an outage,
-since nothing would refill the throttle.
-"""
-
-CONFLICT_STATUS = 409
-"""A server without the snapshot is not overloaded, so this is no failure."""
-
 RETRY_DELAY_S = 0.25
 """Time after which parts that wait without a usable replica look again."""
 
@@ -128,9 +116,7 @@
         self._sent: dict[int, _Sent] = {}
         self._queues: dict[str, admission.AdmissionQueue[tuple[str, int]]] = {}
         self._timers: list[tuple[float, str]] = []
-        self._hedges = budgets.TokenBucket()
-        self._retries: dict[str, budgets.RetryThrottle] = {}
-        self._trickled: dict[str, float] = {}
+        self._budgets = budgets.SubRequestBudgets(model.Policy())
         self._actions: list[events.Action] = []
         self._next_look = float("inf")
 
@@ -157,9 +143,7 @@
 
     def set_configuration(self, configuration: model.Configuration) -> None:
         """Take the budgets of a configuration that came into force."""
-        numerator, denominator = configuration.policy.hedge_budget
-        self._hedges = budgets.TokenBucket(numerator, denominator)
-        self._retries.clear()
+        self._budgets = budgets.SubRequestBudgets(configuration.policy)
 
     def start(self, now: float, query: model.Query) -> list[events.Action]:
         """Start a query, or answer it with the reason for the refusal."""
@@ -200,12 +184,12 @@
     def receive(self, now: float, event: events.ServerReplied) -> list[events.Action]:
         """Take the reply of a backend server to a sub-request."""
         sent = self._sent.pop(event.send_id)
-        throttle = self._throttle(sent.service)
         if event.status == 200:
-            throttle.note_success()
-        elif event.status != CONFLICT_STATUS:
-            throttle.note_failure()
-        self._feed_sent(now, sent, _read_reply(sent, event))
+            self._budgets.note_reply(sent.service)
+        elif event.status != subrequests.CONFLICT_STATUS:
+            self._budgets.note_failure(sent.service)
+        reply = subrequests.read_reply(sent.attempt, sent.index, event)
+        self._feed_sent(now, sent, reply)
         self._grant(now, sent.service)
         return self._take_actions()
 
@@ -213,7 +197,7 @@
         """Take the failure of a sub-request."""
         sent = self._sent.pop(event.send_id)
         if event.bytes_sent:
-            self._throttle(sent.service).note_failure()
+            self._budgets.note_failure(sent.service)
         cause = _CAUSES[event.cause]
         self._feed_sent(now, sent, attempts.Failed(sent.attempt, cause))
         self._grant(now, sent.service)
@@ -387,17 +371,9 @@
 
     def _allows(self, now: float, service: str, purpose: attempts.Purpose) -> bool:
         if purpose is attempts.Purpose.HEDGE:
-            return self._hedges.can_take()
+            return self._budgets.allows_hedge()
         if purpose is attempts.Purpose.RETRY:
-            return self._allows_retry(now, service)
-        return True
-
-    def _allows_retry(self, now: float, service: str) -> bool:
-        if self._throttle(service).allows_retry():
-            return True
-        if now - self._trickled.get(service, float("-inf")) < RETRY_TRICKLE_S:
-            return False
-        self._trickled[service] = now
+            return self._budgets.allows_retry(now, service)
         return True
 
     def _send(
@@ -411,9 +387,9 @@
         if begun is None:
             return attempts.Failed(send.attempt, attempts.Cause.NOT_SENT)
         if send.purpose is attempts.Purpose.FIRST:
-            self._hedges.earn()
+            self._budgets.note_first()
         elif send.purpose is attempts.Purpose.HEDGE:
-            self._hedges.take()
+            self._budgets.take_hedge()
         send_id = begun.send_id
         active.sends[send.attempt] = send_id
         if send.deadline < active.query.deadline:
@@ -421,7 +397,9 @@
         self._sent[send_id] = _Sent(
             active.query.answer_id, send.attempt, part.service, part.index
         )
-        self._actions.append(_make_send(now, begun, send, part, active.query))
+        self._actions.append(
+            subrequests.make_send(now, begun, send, part, active.query)
+        )
         self._actions.append(events.CountMetric(_METRICS[send.purpose]))
         return None
 
@@ -524,15 +502,6 @@
 
     # Helpers.
 
-    def _throttle(self, service: str) -> budgets.RetryThrottle:
-        throttle = self._retries.get(service)
-        if throttle is None:
-            configuration = self._store.configuration
-            assert configuration is not None
-            throttle = budgets.RetryThrottle(configuration.policy.retry_tokens)
-            self._retries[service] = throttle
-        return throttle
-
     def _schedule_look(self, now: float, delay_s: float = RETRY_DELAY_S) -> None:
         self._next_look = min(self._next_look, now + delay_s)
 
@@ -547,78 +516,3 @@
     """Return the answer to a query that was refused before it started."""
     outcome = attempts.Outcome(failure, (), (), (), 0, 0, ())
     return events.AnswerQuery(query.answer_id, revision, outcome)
-
-
-def _make_send(
-    now: float,
-    begun: dispatch.Begun,
-    send: attempts.Send,
-    part: attempts.Part,
-    query: model.Query,
-) -> events.SendToServer:
-    timeout_s = send.deadline - now
-    ranges = ",".join(f"{keys.start}-{keys.end}" for keys in send.ranges)
-    headers = (
-        ("content-type", "application/json"),
-        ("x-request-id", send.request_id),
-        ("x-index", part.index),
-        ("x-index-version", str(send.version)),
-        ("x-partition-map", str(part.partition_map)),
-        ("x-key-ranges", ranges),
-        ("x-deadline-ms", str(max(1, int(timeout_s * 1000)))),
-    )
-    body: bodies.ServerQuery = {
-        "kind": query.kind.value,
-        "key": query.key,
-        "limit": query.limit,
-        "body": query.body,
-    }
-    return events.SendToServer(
-        begun.send_id,
-        send.address,
-        "POST",
-        "/query",
-        headers,
-        bodies.encode(body),
-        timeout_s,
-        may_connect=begun.may_connect,
-    )
-
-
-def _read_reply(
-    sent: _Sent, event: events.ServerReplied
-) -> attempts.Reply | attempts.Failed:
-    """Turn the HTTP reply of a backend server into an event of scatter."""
-    versions = ((sent.index, max(event.news.versions, default=0)),)
-    if event.status == 503:
-        return attempts.Failed(
-            sent.attempt, attempts.Cause.SHED, versions, event.news.retry_after_s
-        )
-    if event.status == 409:
-        return attempts.Failed(sent.attempt, _read_conflict(event.body), versions)
-    if event.status != 200:
-        return attempts.Failed(sent.attempt, attempts.Cause.REFUSED, versions)
-    decoded = bodies.decode(event.body, bodies.ServerReply, True)
-    if isinstance(decoded, result.Err):
-        return attempts.Failed(sent.attempt, attempts.Cause.BAD_REPLY, versions)
-    reply = decoded.ok_value
-    return attempts.Reply(
-        sent.attempt,
-        reply["request_id"],
-        reply["index"],
-        reply["version"],
-        reply["partition_map"],
-        tuple(model.KeyRange(start, end) for start, end in reply["ranges"]),
-        tuple(reply["rows"]),
-        True,
-    )
-
-
-def _read_conflict(body: bytes) -> attempts.Cause:
-    decoded = bodies.decode(body, bodies.ServerError, True)
-    kind = "" if isinstance(decoded, result.Err) else decoded.ok_value["kind"]
-    if kind == "map_changed":
-        return attempts.Cause.MAP_CHANGED
-    if kind == "version_gone":
-        return attempts.Cause.VERSION_GONE
-    return attempts.Cause.REFUSED
