--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -25,6 +25,7 @@
 TICKS = 20
 """Ticks in one repeat: 2 s, so that all periodic work occurs."""
 
+IDLE_TICKS = 100
 QUERIES = 20
 """Queries in one repeat."""
 
@@ -81,6 +82,9 @@
         driver.tick()
     tick_s = driver.mean_s(events.LoopTicked)
     answered_s = driver.mean_s(events.DigestAnswered)
+    driver.reset()
+    for _ in range(3):
+        driver.feed(events.InstancesListed(driver.listed))
     listed_s = driver.mean_s(events.InstancesListed)
     driver.reset()
     driver.hear_all()
@@ -95,11 +99,14 @@
     """Return the status probes per second of a daemon that gets no queries."""
     driver = sizes.Driver(sizes.render(replicas), peers)
     driver.settle()
+    # Probes start when the replies of the last queries are out of date.
+    for _ in range(2 * TICKS):
+        driver.tick()
     driver.hear_all()
     driver.reset()
-    for _ in range(TICKS):
+    for _ in range(IDLE_TICKS):
         driver.tick()
-    return driver.counts[events.ServerReplied.__name__] / (TICKS * control.TICK_S)
+    return driver.counts[events.ServerReplied.__name__] / (IDLE_TICKS * control.TICK_S)
 
 
 class Record(typing.NamedTuple):
