Bound a demand for permits by the budget of its server

Cause: since demands are served whole, one above the budget was never served (0 of 2 in test_spent_and_returned_permits_free_the_budget).

--- a/acacialatch/permits.py
+++ b/acacialatch/permits.py
@@ -202,7 +202,7 @@
         if now <= account.unbounded_until + _stretch(window_s):
             return ()
         free = budget - len(account.granted)
-        count = _share(now, account, requester, free)
+        count = _share(now, account, requester, free, budget)
         if count == 0:
             return ()
         life_s = _stretch(PERMIT_LIFE_S)
@@ -250,7 +250,9 @@
     return duration_s / (1 - leases.CLOCK_RATE_MARGIN)
 
 
-def _share(now: float, account: _Account, requester: str, free: int) -> int:
+def _share(
+    now: float, account: _Account, requester: str, free: int, budget: int
+) -> int:
     """Return how many of the free places are the requester's.
 
     A demand is served whole or not at all: a send on a new connection needs two
@@ -267,7 +269,8 @@
         return urgency, account.turns.get(name, 0), name
 
     for name in sorted(account.wants, key=rank):
-        count = account.wants[name].count
+        # A demand above the budget could never be served whole.
+        count = min(account.wants[name].count, budget)
         if count > free:
             return 0
         if name == requester:
