--- a/bench/compare.py
+++ b/bench/compare.py
@@ -4,6 +4,7 @@
 backend servers.
 """
 
+import concurrent.futures
 import pathlib
 import random
 import statistics
@@ -16,6 +17,7 @@
 from bench import fakes, naive
 
 ENTRIES = 8
+WORKERS = 4
 WARM_UP_S = 9.0
 """Time in which eight entry instances elect owners and learn the servers."""
 
@@ -224,39 +226,48 @@
 
 
 def print_comparison(
-    name: str, scenario: Scenario, seeds: typing.Sequence[int]
+    name: str, naive_runs: list[Measures], product_runs: list[Measures]
 ) -> None:
     """Print medians over seeds for both versions, and ratios."""
-    results: dict[bool, Measures] = {}
-    for is_naive in (True, False):
-        runs = [measure(scenario, seed, is_naive) for seed in seeds]
-        results[is_naive] = Measures(
-            *(statistics.median(values) for values in zip(*runs, strict=True))
-        )
-    print(f"{name}: {len(seeds)} seeds, {results[True].queries:g} queries")
-    for label, is_naive in (("naive", True), ("product", False)):
-        row = results[is_naive]
+    medians = [
+        Measures(*(statistics.median(values) for values in zip(*runs, strict=True)))
+        for runs in (naive_runs, product_runs)
+    ]
+    print(f"{name}: {len(naive_runs)} seeds, {medians[0].queries:g} queries")
+    for label, row in zip(("naive", "product"), medians, strict=True):
         print(
             f"  {label:8} p50 {row.p50_ms:7.1f} ms  p99 {row.p99_ms:7.1f} ms  "
             f"p99.9 {row.p999_ms:7.1f} ms  coverage {row.coverage:.5f}  "
             f"whole {row.whole:g}  extra load {row.extra_load:+.2%}  "
             f"fell over {row.fell_over:g}"
         )
-    print(
-        f"  ratio    p50 {results[False].p50_ms / results[True].p50_ms:.2f}  "
-        f"p99 {results[False].p99_ms / results[True].p99_ms:.2f}  "
-        f"p99.9 {results[False].p999_ms / results[True].p999_ms:.2f}",
-        flush=True,
-    )
+    ratios = [
+        product / naive
+        for product, naive in zip(medians[1][2:5], medians[0][2:5], strict=True)
+    ]
+    print("  ratio    p50 {:.2f}  p99 {:.2f}  p99.9 {:.2f}".format(*ratios), flush=True)
 
 
-def main(seeds: int = 3) -> None:
-    """Print every scenario.
+def main(seeds: int) -> None:
+    """Print every scenario, with runs on several processor cores.
 
     Parameters
     ----------
     seeds : int
         Number of runs of each version; medians are printed.
     """
-    for name, scenario in SCENARIOS.items():
-        print_comparison(name, scenario, range(1, seeds + 1))
+    with concurrent.futures.ProcessPoolExecutor(WORKERS) as pool:
+        runs = {
+            (name, is_naive): [
+                pool.submit(measure, scenario, seed, is_naive)
+                for seed in range(1, seeds + 1)
+            ]
+            for name, scenario in SCENARIOS.items()
+            for is_naive in (True, False)
+        }
+        for name in SCENARIOS:
+            naive_runs, product_runs = (
+                [run.result() for run in runs[name, is_naive]]
+                for is_naive in (True, False)
+            )
+            print_comparison(name, naive_runs, product_runs)
--- a/tests/test_bench.py
+++ b/tests/test_policies.py
@@ -1,7 +1,7 @@
-"""Tests for bench.__main__."""
+"""Tests for bench.policies."""
 
 from acacialatch import budgets, routing
-from bench import __main__ as bench
+from bench import policies as bench
 
 
 def test_runs_repeat_and_stay_within_the_hedge_budget(monkeypatch):
