--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -3,7 +3,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from acacialatch import budgets
+from acacialatch import budgets, model
 
 BOUNDED = hypothesis.settings(
     derandomize=True, database=None, deadline=None, max_examples=200
@@ -90,3 +90,14 @@
         throttle.note_success()
         successes += 1
     assert successes == 51
+
+
+def test_one_retry_passes_in_each_period_of_an_outage():
+    """Guards against a service of lookups alone that is never retried again."""
+    made = budgets.SubRequestBudgets(model.Policy(retry_tokens=2))
+    for _ in range(10):
+        made.note_failure("ledger")
+    times = [number / 100 for number in range(100)]
+    allowed = [now for now in times if made.allows_retry(now, "ledger")]
+    assert len(allowed) == 10
+    assert made.allows_retry(0.5, "desk")
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -427,3 +427,38 @@
     world.fleet.entries["entry-1"].runner.submit(events.StopAsked())
     await trio.sleep(1)
     assert name_entries() == {"127.0.0.1:7802", "127.0.0.1:7803"}
+
+
+async def test_work_in_progress_during_a_pause_avoids_a_zone_out(world, autojump_clock):
+    """Guards against retries and hedges of a process that wakes with old beliefs."""
+    for server in world.fleet.servers.values():
+        server.extra_latency_s = 5.0
+    entry = world.fleet.entries["entry-2"]
+    for _ in range(5):
+        world.nursery.start_soon(world._call, entry, "full_page")
+        world.nursery.start_soon(world._call, entry, "lookup")
+    await trio.sleep(0.001)
+    entry.runner.pause()
+    world.fleet.platform.publish(make_text('"west"'))
+    await trio.sleep(DEADLINE_S)
+    before = world.count("arrived", "west")
+    world.fleet.platform.is_down = True
+    entry.runner.resume()
+    await trio.sleep(10)
+    assert world.count("arrived", "west") == before
+    assert world.count("arrived", "east") > 0
+
+
+async def test_first_work_after_a_quiet_time_avoids_a_leaving_server(
+    world, autojump_clock
+):
+    """Guards against work for a server that began to leave while nobody asked it."""
+    leaving = world.fleet.servers["127.0.2.1:7001"]
+    leaving.draining = True
+    world.fleet.servers["127.0.1.1:7001"].shedding = True
+    await trio.sleep(12)
+    world.fleet.servers["127.0.1.1:7001"].shedding = False
+    await world.call_for(1)
+    await trio.sleep(2)
+    assert leaving.counters["arrived_while_leaving"] == 0
+    assert all(status == 200 for status, _ in world.answers)
