Name the address in use, show help without a pager

Cause: an OSError at the start is nested in a group of each nursery, and only the outermost group was unpacked: 'daemon: Exceptions from Trio nursery'. The error of the socket does not name the address either. With PAGER=- fire used its own pager, which waits for a key on a terminal. Ruled out: a wrong exit status; it was 1 before. Conclusion: nested groups are unpacked to the first error, and help is written directly.

--- a/acacialatch/cli.py
+++ b/acacialatch/cli.py
@@ -1,8 +1,8 @@
 """Command line: serve, check, replay and version."""
 
-import os
 import pathlib
 import sys
+import typing
 
 import fire
 import result
@@ -73,11 +73,16 @@
 
 def main() -> None:
     """Run the command line."""
-    # Without this, fire starts a pager, and a process starts no other process.
-    os.environ["PAGER"] = "-"
+    # The pager of fire starts other processes (a pager, or tput for its size).
+    fire.core.Display = _display
     fire.Fire(Commands(), name="acacialatch")
 
 
+def _display(lines: typing.Iterable[str], out: typing.TextIO) -> None:
+    """Write help text without a pager."""
+    out.write("\n".join(lines) + "\n")
+
+
 def _serve(path: str) -> None:
     parsed = settings.parse(_read(path), path)
     if isinstance(parsed, result.Err):
@@ -86,7 +91,15 @@
     try:
         trio.run(_run_daemon, chosen)
     except* OSError as group:
-        sys.exit(f"daemon: {group.exceptions[0]}")
+        sys.exit(f"daemon: {_find_first(group)}")
+
+
+def _find_first(group: BaseExceptionGroup) -> BaseException:
+    """Return the first error of nested groups; each nursery adds a group."""
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
 
 
 async def _run_daemon(chosen: settings.Settings) -> None:
--- a/acacialatch/daemon.py
+++ b/acacialatch/daemon.py
@@ -1,8 +1,10 @@
 """Runs one entry instance: sockets, timers and signals around the engine."""
 
+import contextlib
 import random
 import secrets
 import signal
+import typing
 
 import trio
 
@@ -81,9 +83,11 @@
             An address of the settings cannot be used.
         """
         async with wire.open_loop(self._report_text), trio.open_nursery() as nursery:
-            listener = await httpserver.listen(self._settings.caller_address)
+            with _name_address(self._settings.caller_address):
+                listener = await httpserver.listen(self._settings.caller_address)
             server = peers.PeerServer(self._runner)
-            await nursery.start(server.serve, self._settings.peer_address)
+            with _name_address(self._settings.peer_address):
+                await nursery.start(server.serve, self._settings.peer_address)
             nursery.start_soon(self._output.run)
             await nursery.start(self._runner.run)
             accepting = trio.CancelScope()
@@ -144,5 +148,14 @@
         self._output.log("process:", text)
 
 
+@contextlib.contextmanager
+def _name_address(address: str) -> typing.Iterator[None]:
+    """Add an address to the error of a socket, which does not name it."""
+    try:
+        yield
+    except OSError as error:
+        raise OSError(error.errno, error.strerror, address) from error
+
+
 def _refuse(kind: str) -> httpserver.Response:
     return gateway.refuse(errors.ErrorKind(kind))
