Read the rest of a refused request before closing

Cause: after a body that is too large the socket was closed with unread data, which resets the connection, so a caller saw ECONNRESET in place of body_too_large (4 MiB body). Ruled out: a failed answer; with a body just above the bound it arrived. After: the answer arrives with a 4 MiB body. Conclusion: the rest is read and dropped for at most 1 s.

--- a/acacialatch/httpserver.py
+++ b/acacialatch/httpserver.py
@@ -16,6 +16,13 @@
 """Longest time in seconds to receive one request after its first byte."""
 
 SEND_TIMEOUT_S = 10.0
+LINGER_S = 1.0
+"""Longest time for which the rest of a refused request is read, in seconds.
+
+A socket closed with unread data resets the connection, which can destroy the answer
+before the caller has read it.
+"""
+
 HEADER_BYTES_MAX = 16_384
 BODY_BYTES_MAX = 262_144
 _RECEIVE_BYTES = 65536
@@ -142,10 +149,10 @@
             try:
                 request = await self._read_request()
             except h11.RemoteProtocolError:
-                await self._send(self._server.refuse("malformed_request"), True)
+                await self._send_last(self._server.refuse("malformed_request"))
                 return
             except _BodyTooLargeError:
-                await self._send(self._server.refuse("body_too_large"), True)
+                await self._send_last(self._server.refuse("body_too_large"))
                 return
             if request is None:
                 return
@@ -219,6 +226,14 @@
             buffered += len(data)
             self._http.receive_data(data)
 
+    async def _send_last(self, response: Response) -> None:
+        """Send an answer, then discard what the caller still sends."""
+        await self._send(response, True)
+        with trio.move_on_after(LINGER_S):
+            await self._stream.send_eof()
+            while await self._stream.receive_some(_RECEIVE_BYTES):
+                pass
+
     async def _send(self, response: Response, must_close: bool) -> None:
         headers = [
             ("content-type", "application/json"),
