--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 VENV ?= .venv
 PYTHON ?= python3.11
 BIN = $(VENV)/bin
+DIST = dist
 STAMP = $(VENV)/.requirements-installed
 
 .PHONY: setup test lint format demo bench binary capacity clean
@@ -34,11 +35,11 @@
 	$(BIN)/python -m bench.capacity
 
 binary: setup
-	rm -rf build dist
-	mkdir -p dist
+	rm -rf build $(DIST)/acacialatch
+	mkdir -p $(DIST)
 	$(BIN)/python -m shiv --quiet --reproducible --root /run/acacialatch \
 	  --python "/usr/bin/env python3.11" --console-script acacialatch \
-	  --output-file dist/acacialatch -r requirements.txt .
+	  --output-file $(DIST)/acacialatch -r requirements.txt .
 
 clean:
 	rm -rf build dist *.egg-info
