Test that a planned stop awaits a slow request

Cause: without the wait for open connections the test of a planned stop still passed, since no request lasts until the drain begins. Before: 'while self._server.connections' replaced by 'while False' went unseen. After: the same change fails with RemoteDisconnected at the caller. Conclusion: a booking that takes longer than the address lifetime is in progress when the signal arrives.

--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -312,10 +312,11 @@
 
 def send_booking(fleet, key: str, outcomes: list) -> None:
     headers = {"idempotency-key": key}
+    booking = {**BOOKING, "deadline_ms": 10_000}
     try:
         outcomes.append(
             processes.ask(
-                fleet.entry(fleet.EXTRA), "POST", REQUEST, BOOKING, headers
+                fleet.entry(fleet.EXTRA), "POST", REQUEST, booking, headers
             ).kind()
         )
     except OSError as error:
@@ -391,8 +392,19 @@
     assert [caller.failures for caller in callers] == [[]] * len(callers)
 
 
-def test_output_is_kept_for_readers(fleet):
-    """Guards against a traceback in the output of any process of this module."""
+def test_planned_stop_awaits_a_slow_request(fleet, extra):
+    """Guards against a stop that waits for its address lifetime only."""
+    latency_s = 2 * ADDRESS_LIFETIME_S
+    with request_in_progress(fleet, latency_s) as (key, caller, outcomes):
+        extra.send_signal(signal.SIGTERM)
+        assert extra.wait(processes.WAIT_S) == 0
+        caller.join()
+        assert outcomes == [""]
+    assert fleet.count_runs(key) == 1
+
+
+def test_no_process_reported_a_defect(fleet):
+    """Guards against an error that a process wrote but no answer showed."""
     text = pathlib.Path(fleet.directory / "output.txt").read_text()
     assert "Traceback" not in text
     assert "request failed" not in text
