--- a/acacialatch/changes.py
+++ b/acacialatch/changes.py
@@ -40,7 +40,7 @@
     text = f"revision {offered} {change.cause.value}, source {change.source}"
     actions.append(events.WriteLog("config:", text))
     for problem in change.notes[:3]:
-        actions.append(events.WriteLog("config:", str(problem)))
+        actions.append(events.WriteLog("config:", problem.describe()))
     return actions
 
 
--- a/acacialatch/configuration.py
+++ b/acacialatch/configuration.py
@@ -16,7 +16,6 @@
 DURATION_MAX_MS = 3_600_000
 COUNT_MAX = 1_000_000  # bound of slots, connections and request counts
 FRACTION_DENOMINATOR_MAX = 1_000_000
-KEY_LIFETIME_MAX_S = 86_400
 # Lifetime plus the time to spread a change must stay within 3 s.
 ENTRY_LIFETIME_MAX_S = 2
 
@@ -42,7 +41,7 @@
     "services",
 )
 _KIND_KEYS = ("deadline_ms", "deadline_max_ms", "floor")
-_POLICY_KEYS = ("hedge_budget", "retry_tokens", "key_lifetime_s", "entry_lifetime_s")
+_POLICY_KEYS = ("hedge_budget", "retry_tokens", "entry_lifetime_s")
 _INDEX_KEYS = ("keys", "partition_map")
 _SHAPE_KEYS = (
     "slots",
@@ -167,10 +166,6 @@
             "retry_tokens", 1, COUNT_MAX, defaults.retry_tokens
         )
         or defaults.retry_tokens,
-        key_lifetime_s=reader.read_integer(
-            "key_lifetime_s", 1, KEY_LIFETIME_MAX_S, defaults.key_lifetime_s
-        )
-        or defaults.key_lifetime_s,
         entry_lifetime_s=reader.read_integer(
             "entry_lifetime_s", 1, ENTRY_LIFETIME_MAX_S, defaults.entry_lifetime_s
         )
--- a/acacialatch/daemon.py
+++ b/acacialatch/daemon.py
@@ -26,8 +26,8 @@
 STOP_MARGIN_S = 1.0
 """Serving goes on for the address lifetime plus this margin after a stop signal."""
 
-DRAIN_MAX_S = 40.0
-"""Longest wait for callers' connections; above the largest deadline, 30 s."""
+DRAIN_MARGIN_S = 10.0
+"""Time above the largest deadline for which a planned stop waits for callers."""
 
 FLUSH_S = 0.5
 """Time to send the last answers after a second signal, in seconds."""
@@ -118,7 +118,7 @@
         self._engine.refuse_new_work()
         self._server.announce_close()
         accepting.cancel()
-        with trio.move_on_after(DRAIN_MAX_S):
+        with trio.move_on_after(self._engine.longest_deadline_s() + DRAIN_MARGIN_S):
             while self._server.connections:
                 await trio.sleep(0.05)
         done.cancel()
--- a/acacialatch/engine.py
+++ b/acacialatch/engine.py
@@ -6,6 +6,7 @@
 import result
 
 from acacialatch import (
+    bodies,
     control,
     dispatch,
     errors,
@@ -155,6 +156,13 @@
         configuration = self._store.configuration
         return configuration.policy.entry_lifetime_s if configuration else 0.0
 
+    def longest_deadline_s(self) -> float:
+        """Return the largest deadline that a caller may name, in seconds."""
+        configuration = self._store.configuration
+        kinds = configuration.kinds.values() if configuration else ()
+        longest_s = max((kind.deadline_max_s for kind in kinds), default=0.0)
+        return max(longest_s, bodies.REQUEST_DEADLINE_MAX_S)
+
     def next_timer(self) -> float:
         """Return the time at which `LoopTicked` must be handled, in seconds."""
         return min(
@@ -241,8 +249,10 @@
         return actions
 
     def _measure(self, now: float) -> list[events.Action]:
+        granted, self._owner.granted = self._owner.granted, 0
         service_age_s = min(self._store.service_age(now), SERVICE_AGE_SHOWN_MAX_S)
         return [
+            events.CountMetric("permits", granted),
             events.SetMetric("revision", max(0, self._store.revision)),
             events.SetMetric("service_age", service_age_s),
             events.SetMetric("peers", len(self._members.list_incarnations(now)) - 1),
--- a/acacialatch/metrics.py
+++ b/acacialatch/metrics.py
@@ -53,7 +53,7 @@
         Kind.COUNTER, "requests", "non-idempotent requests with an unknown outcome"
     ),
     "waiting": Metric(Kind.GAUGE, "sub-requests", "entries in the admission queues"),
-    "refused": Metric(Kind.COUNTER, "queries", "refused because of full queues"),
+    "refused": Metric(Kind.COUNTER, "sub-requests", "refused because of full queues"),
     "in_flight": Metric(Kind.GAUGE, "sub-requests", "sub-requests in progress"),
     "server_changes": Metric(
         Kind.COUNTER, "changes", "changes of the state of a backend server"
--- a/acacialatch/model.py
+++ b/acacialatch/model.py
@@ -133,15 +133,12 @@
         Numerator and denominator of the share of sub-requests that may be hedged.
     retry_tokens : int
         Size of the token bucket that limits retries, in tokens.
-    key_lifetime_s : int
-        Lifetime of an idempotency key, in seconds.
     entry_lifetime_s : int
         Time for which callers may keep addresses of entry instances, in seconds.
     """
 
     hedge_budget: tuple[int, int] = (1, 20)
     retry_tokens: int = 10
-    key_lifetime_s: int = 600
     entry_lifetime_s: int = 2
 
 
--- a/acacialatch/outputs.py
+++ b/acacialatch/outputs.py
@@ -74,6 +74,7 @@
         self._meter = meter
         self._trail = trail
         self._limit = limit
+        self._reported: dict[str, int] = {}
 
     def write(self, now: float, action: events.Action) -> None:
         """Write an action; see `Output`."""
@@ -90,6 +91,7 @@
                 self._meter.count(action.name, action.value)
             case events.SetMetric():
                 self._meter.set(action.name, action.value)
+                self._report_drops()
             case events.TimeMetric():
                 self._meter.time(action.name, action.value_s)
 
@@ -104,6 +106,15 @@
             if isinstance(self._meter, metrics.StatsdMetrics):
                 nursery.start_soon(self._meter.run)
 
+    def _report_drops(self) -> None:
+        """Count what was dropped since the last call; gauges come every second."""
+        for name, dropped in (
+            ("log_dropped", self._log.dropped),
+            ("metrics_dropped", self._meter.dropped),
+        ):
+            self._meter.count(name, dropped - self._reported.get(name, 0))
+            self._reported[name] = dropped
+
     def _write_record(self, now: float, action: events.WriteRecord) -> None:
         if self._limit.allows(now, len(action.data)):
             text = action.data.decode()
--- a/acacialatch/ownership.py
+++ b/acacialatch/ownership.py
@@ -38,6 +38,8 @@
         Shares and permits, used at each send.
     malformed : int
         Fields of digests that could not be decoded.
+    granted : int
+        Permits given to other entry instances.
     """
 
     def __init__(self, now: float, incarnation: str, seed: int):
@@ -46,6 +48,7 @@
         self._candidate = leases.Candidate(now, incarnation, LIMIT_UNKNOWN, seed)
         self.shares = allotments.Allotments(incarnation, self._candidate)
         self.malformed = 0
+        self.granted = 0
         self._has_news = False
 
     def set_configuration(self, now: float, configuration: model.Configuration) -> None:
@@ -94,6 +97,7 @@
         request = self._decode(digest.permits_asked, permits.Request)
         if request is not None:
             grants = self.shares.grant(now, digest.incarnation, request)
+            self.granted += len(grants.permits)
             granted = msgspec.msgpack.encode(grants)
         return Carried(votes, granted)
 
--- a/acacialatch/queries.py
+++ b/acacialatch/queries.py
@@ -184,6 +184,7 @@
     def receive(self, now: float, event: events.ServerReplied) -> list[events.Action]:
         """Take the reply of a backend server to a sub-request."""
         sent = self._sent.pop(event.send_id)
+        self._actions.append(events.TimeMetric("sub_request_time", event.latency_s))
         if event.status == 200:
             self._budgets.note_reply(sent.service)
         elif event.status != subrequests.CONFLICT_STATUS:
--- a/acacialatch/runner.py
+++ b/acacialatch/runner.py
@@ -177,7 +177,7 @@
         asked_at = trio.current_time()
         read = await self._source.read(action.after, action.wait_s)
         if isinstance(read, result.Err):
-            self.submit(events.ServiceFailed(str(read.err_value)))
+            self.submit(events.ServiceFailed(_describe_failure(read.err_value)))
         elif read.ok_value is None:
             self.submit(events.ServiceAnswered(asked_at))
         else:
@@ -191,7 +191,7 @@
     async def _list_instances(self) -> None:
         listed = await self._instances.list()
         if isinstance(listed, result.Err):
-            self.submit(events.ListFailed(str(listed.err_value)))
+            self.submit(events.ListFailed(_describe_failure(listed.err_value)))
         else:
             self.submit(events.InstancesListed(listed.ok_value))
 
@@ -315,6 +315,10 @@
     )
 
 
+def _describe_failure(failure: errors.SourceFailure) -> str:
+    return f"{failure.kind.value} {failure.detail}".rstrip()
+
+
 def _read_forward_reply(reply: messages.ForwardReply) -> requestdata.Outcome:
     if not reply.kind:
         return requestdata.Reply("", reply.status, reply.body)
--- a/acacialatch/servers.py
+++ b/acacialatch/servers.py
@@ -302,7 +302,7 @@
         return row.latency_s
 
     def hedge_delay(self, service: str) -> float:
-        """Return the 95th percentile of recent latencies, in seconds."""
+        """Return the delay before a hedge in seconds; see `latencies`."""
         window = self._windows.get(service)
         delay_s = None if window is None else window.percentile()
         return HEDGE_INITIAL_S if delay_s is None else delay_s
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -44,6 +44,9 @@
     scheduler._r.seed(seed)
 
 
+_DOWN = errors.SourceFailure(errors.SourceErrorKind.UNREACHABLE, "down")
+
+
 class FakeConnection:
     """A connection to a stand-in backend server."""
 
@@ -230,12 +233,12 @@
         self.reads += 1
         await trio.sleep(0.002)
         if self.is_down:
-            return result.Err("service is down")
+            return result.Err(_DOWN)
         if self.revision <= after:
             with trio.move_on_after(wait_s):
                 await self._changed.wait()
         if self.is_down:
-            return result.Err("service is down")
+            return result.Err(_DOWN)
         if self.revision <= after:
             return result.Ok(None)
         text = messages.ConfigurationText(revision=self.revision, text=self.text)
@@ -247,7 +250,7 @@
         """Return the instances; see `sources.InstanceSource`."""
         await trio.sleep(0.002)
         if self.is_down:
-            return result.Err("instance list is down")
+            return result.Err(_DOWN)
         return result.Ok(self.instances)
 
 
--- a/examples/generate.py
+++ b/examples/generate.py
@@ -95,8 +95,7 @@
         f"deadline_ms = {page}\ndeadline_max_ms = {page_max}\nfloor = [1, 1]\n",
         f"[kinds.urgent]\ndeadline_ms = {urgent}\n",
         f"[kinds.lookup]\ndeadline_ms = {lookup}\n",
-        "[policy]\nhedge_budget = [1, 20]\nretry_tokens = 10\n"
-        "key_lifetime_s = 600\nentry_lifetime_s = 2\n",
+        "[policy]\nhedge_budget = [1, 20]\nretry_tokens = 10\nentry_lifetime_s = 2\n",
     ]
     parts += [
         f"[indexes.{group.index}]\nkeys = {group.keys}\npartition_map = 1\n"
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -60,8 +60,7 @@
     metric = metrics.METRICS[name]
     kind_and_unit = find_row(read_section("docs/OPERATIONS.md", "Metrics"), name)[1]
     assert kind_and_unit.split(", ")[0] == metric.kind.value
-    # Each refused sub-request counts, so the page states that unit.
-    unit = "sub-requests" if name == "refused" else metric.unit
+    unit = metric.unit
     assert kind_and_unit.split(", ")[1] == unit
 
 
