Wait for a new process to confirm its configuration

Cause: the test of a platform that is down queried a new process as soon as it had a text. The test passed or failed by that race. Ruled out: load on the machine and the pause detection; with the status polled, current is false right after the fetch on a calm machine too.

--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -253,6 +253,10 @@
                 )
             )
             process = fleet.start_entry(fleet.EXTRA)
+            # A text fetched from a peer is used once the next digest confirms it.
+            processes.wait_until(
+                lambda: fleet.status(fleet.EXTRA)["current"], IN_FORCE_S
+            )
             answer = fleet.query(fleet.EXTRA, deadline_ms=5000)
             assert answer.status == 200, answer
             assert fleet.status(fleet.EXTRA)["sha256"] == fleet.status(1)["sha256"]
