--- a/acacialatch/probes.py
+++ b/acacialatch/probes.py
@@ -8,8 +8,11 @@
 IDLE_NEWS_S = 10.0
 """A service that is not in use gets a status probe after this time without news."""
 
-PROBE_ROUND_TICKS = 5
-"""Each tick looks at this fraction of the servers, to bound its processor time."""
+PROBE_ROUND_TICKS = 10
+"""Each tick looks at this fraction of the leaves, to bound its processor time.
+
+One round takes 1 s. With `NEWS_REFRESH_S` it stays below `dispatch.NEWS_MAX_S`.
+"""
 
 PROBE_TIMEOUT_S = 1.0
 
@@ -67,27 +70,27 @@
         return actions
 
     def _list_due(self, now: float, service: model.Service) -> list[str]:
-        # This runs for every leaf twice a second. Nearly all servers are ready, and
-        # for those the state is looked up only once.
+        """Return the servers of a leaf to probe.
+
+        This runs for every leaf once a second. Under load nearly all servers were
+        heard from lately, and for those the state is not looked up.
+        """
         due: list[str] = []
-        ready: list[str] = []
+        quiet: list[str] = []
         for replica in service.replicas:
-            if self._table.state(now, replica.address) is model.ServerState.READY:
-                ready.append(replica.address)
-            elif self._is_due(now, replica.address):
-                due.append(replica.address)
-        if due:
+            address = replica.address
+            if self._silence(now, address) <= NEWS_REFRESH_S:
+                continue
+            if self._table.state(now, address) is model.ServerState.READY:
+                quiet.append(address)
+            elif self._is_due(now, address):
+                due.append(address)
+        if due or not quiet:
             return due
-        silences = [self._silence(now, address) for address in ready]
         if self._dispatcher.is_used(now, service.name):
-            return [
-                address
-                for address, silence_s in zip(ready, silences, strict=True)
-                if silence_s > NEWS_REFRESH_S
-            ]
-        if ready and min(silences) > IDLE_NEWS_S:
-            return ready[:1]
-        return []
+            return quiet
+        silences = [self._silence(now, replica.address) for replica in service.replicas]
+        return quiet[:1] if min(silences) > IDLE_NEWS_S else []
 
     def _silence(self, now: float, address: str) -> float:
         """Return the time since the last reply of a server, in seconds."""
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -322,9 +322,9 @@
     text = slopes.measure_text(sizes.REPLICAS)
     work_out_control(found, digests, link)
     work_out_list()
-    probes = slopes.count_idle_probes(sizes.REPLICAS, 100)
-    show("measured", "status probes of an idle daemon", probes, "1/s")
-    probing = probes * http.cpu_s * 100
+    probe_rate = slopes.count_idle_probes(sizes.REPLICAS, 100)
+    show("measured", "status probes of an idle daemon", probe_rate, "1/s")
+    probing = probe_rate * http.cpu_s * 100
     verdict = judge(probing, CORE_SHARE_MAX * 100, "% core")
     show("worked out", "probes of an idle daemon", probing, "% core", verdict)
     work_out_memory(resident, memory, http, link)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -11,12 +11,14 @@
 from acacialatch import (
     configuration,
     control,
+    dispatch,
     events,
     facts,
     leases,
     messages,
     model,
     permits,
+    probes,
     sources,
 )
 from bench import sizes
@@ -99,8 +101,9 @@
     """Return the status probes per second of a daemon that gets no queries."""
     driver = sizes.Driver(sizes.render(replicas), peers)
     driver.settle()
-    # Probes start when the replies of the last queries are out of date.
-    for _ in range(2 * TICKS):
+    # Until then, the services of the last queries count as in use.
+    quiet_s = dispatch.USED_S + probes.IDLE_NEWS_S
+    for _ in range(int(quiet_s / control.TICK_S) + TICKS):
         driver.tick()
     driver.hear_all()
     driver.reset()
