Drop queued parts of the old plan when a query restarts

After a restart at a newer plan a part that was still queued was queued again, and AdmissionQueue.push raised ValueError, which ended the process (seen in the new test). The engine also took over a new plan that scatter had refused. Queued parts now leave with their plan, and the engine follows scatter.plan.

--- a/acacialatch/queries.py
+++ b/acacialatch/queries.py
@@ -65,6 +65,7 @@
         self.started = now
         self.query = query
         self.configuration = configuration
+        self.next_configuration = configuration
         self.floor = floor
         self.seed = seed
         self.scatter = scatter.Scatter(query, floor, seed, policy)
@@ -319,6 +320,8 @@
         while pending and not active.finished:
             current = pending.popleft()
             decisions = active.scatter.handle(now, current)
+            if isinstance(current, attempts.Replan):
+                self._adopt(active, current.plan)
             if active.writer is not None:
                 active.writer.add(now, current, decisions)
             for decision in decisions:
@@ -439,6 +442,7 @@
             queue = admission.AdmissionQueue(QUEUE_MAX, QUEUE_PER_KIND_MAX)
             self._queues[service] = queue
         item = (active.query.answer_id, part)
+        queue.remove(item)
         pushed = queue.push(now, item, active.query.kind, active.query.deadline)
         if pushed.is_err():
             # The part stays missing; the query says so at its deadline.
@@ -471,11 +475,20 @@
         if active.query.service not in configuration.services:
             return None
         lowest = dict(active.plan.versions)
-        plan = self._make_plan(configuration, active.query, lowest)
-        if plan is not None:
-            active.plan = plan
-            active.configuration = configuration
-        return plan
+        active.next_configuration = configuration
+        return self._make_plan(configuration, active.query, lowest)
+
+    def _adopt(self, active: _Active, plan: attempts.Plan | None) -> None:
+        """Follow scatter to a new plan, unless scatter refused it."""
+        if plan is None or active.scatter.plan is not plan:
+            return
+        assert active.plan is not None
+        for number, part in enumerate(active.plan.parts):
+            queue = self._queues.get(part.service)
+            if queue is not None:
+                queue.remove((active.query.answer_id, number))
+        active.plan = plan
+        active.configuration = active.next_configuration
 
     def _finish(self, now: float, active: _Active, outcome: attempts.Outcome) -> None:
         revision = 0 if active.plan is None else active.plan.revision
