--- a/acacialatch/dispatch.py
+++ b/acacialatch/dispatch.py
@@ -292,6 +292,9 @@
                 event.is_new_connection,
                 event.news.retry_after_s,
             )
+            if len(moved) == 2 and moved[0].before is moved[1].after:
+                # The reply ended the state that the refusal in it begins again.
+                moved = []
         return changes.note_server_changes(moved)
 
     def end_with_failure(
--- a/acacialatch/probes.py
+++ b/acacialatch/probes.py
@@ -103,8 +103,11 @@
         Only answered requests warm a server, so a probe of a cold server would
         waste its budget, unless nothing is known of the server yet.
         """
-        is_cold = self._table.state(now, address) is model.ServerState.COLD
-        if is_cold and self._table.incarnation(address):
+        state = self._table.state(now, address)
+        if state is model.ServerState.SHEDDING:
+            # A status request does not show whether the server takes work again.
+            return False
+        if state is model.ServerState.COLD and self._table.incarnation(address):
             return False
         return self._table.is_probe_due(now, address)
 
