--- a/acacialatch/control.py
+++ b/acacialatch/control.py
@@ -192,11 +192,11 @@
             return []
         self._is_reading = True
         after = self._store.watch_after
-        if now >= self._next_full_read:
+        is_watcher = self._members.is_watcher(now)
+        if is_watcher and now >= self._next_full_read:
             # A watch names nothing that has the same revision and another text.
             self._next_full_read = now + FULL_READ_PERIOD_S * self._jitter()
             return [events.ReadService(after - 1, 0.0)]
-        is_watcher = self._members.is_watcher(now)
         wait_s = WATCH_WAIT_S if is_watcher and self._store.mark is not None else 0.0
         return [events.ReadService(after, wait_s)]
 
--- a/acacialatch/daemon.py
+++ b/acacialatch/daemon.py
@@ -119,7 +119,7 @@
         self._server.announce_close()
         accepting.cancel()
         with trio.move_on_after(self._engine.longest_deadline_s() + DRAIN_MARGIN_S):
-            while self._server.connections:
+            while self._server.connections or self._engine.count_waiting():
                 await trio.sleep(0.05)
         done.cancel()
 
--- a/acacialatch/engine.py
+++ b/acacialatch/engine.py
@@ -156,6 +156,10 @@
         configuration = self._store.configuration
         return configuration.policy.entry_lifetime_s if configuration else 0.0
 
+    def count_waiting(self) -> int:
+        """Return the queries and requests in progress, forwarded ones included."""
+        return self._queries.count() + self._submissions.count()
+
     def longest_deadline_s(self) -> float:
         """Return the largest deadline that a caller may name, in seconds."""
         configuration = self._store.configuration
--- a/acacialatch/submissions.py
+++ b/acacialatch/submissions.py
@@ -64,6 +64,10 @@
         """Return whether a send belongs to a non-idempotent request."""
         return send_id in self._sent
 
+    def count(self) -> int:
+        """Return the number of requests that wait for an answer."""
+        return len(self._arrived)
+
     def next_timer(self) -> float:
         """Return the time in seconds at which `wake` must be called."""
         time = self._ledger.next_timer()
