Contain a defect in the query that meets it; look up limits by address

Cause: a text that renamed services ended the process with a KeyError, since a query in progress knew a listed server under the old service (seen in the new test). Limits are now looked up by address, and an exception while one query is handled answers that query with internal and is logged.

--- a/acacialatch/dispatch.py
+++ b/acacialatch/dispatch.py
@@ -156,12 +156,10 @@
         """Take the number of idle connections to a server."""
         self._idle[address] = idle
 
-    def make_candidate(
-        self, now: float, service: model.Service, replica: model.Replica
-    ) -> routing.Candidate:
+    def make_candidate(self, now: float, replica: model.Replica) -> routing.Candidate:
         """Return how a replica is seen now, with the reason for an exclusion."""
         address = replica.address
-        reason = self.find_obstacle(now, service, address)
+        reason = self.find_obstacle(now, address)
         return routing.Candidate(
             address,
             replica.zone,
@@ -174,7 +172,7 @@
             self._is_connected(now, address),
         )
 
-    def find_obstacle(self, now: float, service: model.Service, address: str) -> str:
+    def find_obstacle(self, now: float, address: str) -> str:
         """Return why no work may be sent to a server now; empty if it may."""
         if not self.is_current(now):
             return "not_current"
@@ -184,7 +182,7 @@
         if self.is_stale(now, address):
             self.wanted_probes.add(address)
             return STALE_NEWS
-        if self.table.in_flight(address) >= self._limit(service):
+        if self.table.in_flight(address) >= self._limit(address):
             return "slots"
         if self.table.needs_permit(now, address) and not self._has_permits(
             now, address
@@ -248,7 +246,7 @@
             The send; None if it must not happen.
         """
         if is_request:
-            if self.find_obstacle(now, service, address):
+            if self.find_obstacle(now, address):
                 return None
         elif not self.is_current(now):
             return None
@@ -389,7 +387,14 @@
         text = f"{self.identity.incarnation} {address}"
         return hashlib.blake2b(text.encode(), digest_size=8).digest()
 
-    def _limit(self, service: model.Service) -> int:
+    def _limit(self, address: str) -> int:
+        """Return the most sends in flight to a server.
+
+        A query in progress may know the server under a service of an older text.
+        """
+        service = self._services.get(address)
+        if service is None:
+            return 0
         return min(
             self.shares.slot_limit(service.name),
             self.shares.connection_share(service.name),
--- a/acacialatch/queries.py
+++ b/acacialatch/queries.py
@@ -315,6 +315,21 @@
             self._feed(now, active, event)
 
     def _feed(self, now: float, active: _Active, event: attempts.Event) -> None:
+        """Feed an event; a defect ends this query, not the process with all others."""
+        try:
+            self._feed_all(now, active, event)
+        except Exception as error:
+            text = f"{active.query.answer_id} failed: {error!r}"
+            self._actions.append(events.WriteLog("query:", text))
+            if not active.finished:
+                failure = errors.Failure(errors.ErrorKind.INTERNAL)
+                self._actions.append(
+                    answer_failure(active.query, self._store.revision, failure)
+                )
+                self._actions.append(events.CountMetric("queries_failed"))
+                self._close(now, active)
+
+    def _feed_all(self, now: float, active: _Active, event: attempts.Event) -> None:
         """Feed an event, and every event that its decisions cause at once."""
         pending = collections.deque([event])
         while pending and not active.finished:
@@ -358,7 +373,7 @@
         assert active.plan is not None
         service = active.configuration.services[active.plan.parts[number].service]
         candidates = tuple(
-            self._dispatcher.make_candidate(now, service, replica)
+            self._dispatcher.make_candidate(now, replica)
             for replica in service.replicas
         )
         self._dispatcher.note_use(now, service.name)
--- a/acacialatch/submissions.py
+++ b/acacialatch/submissions.py
@@ -106,7 +106,7 @@
             return False
         self._dispatcher.note_use(now, service.name)
         reasons = [
-            self._dispatcher.make_candidate(now, service, replica).reason
+            self._dispatcher.make_candidate(now, replica).reason
             for replica in service.replicas
         ]
         return dispatch.STALE_NEWS in reasons and "" not in reasons
@@ -309,7 +309,7 @@
         self, now: float, service: model.Service
     ) -> tuple[requestdata.ReplicaOption, ...]:
         candidates = [
-            self._dispatcher.make_candidate(now, service, replica)
+            self._dispatcher.make_candidate(now, replica)
             for replica in service.replicas
         ]
         self._dispatcher.note_demand(now, candidates)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -6,7 +6,7 @@
 import result
 import trio
 
-from acacialatch import configuration, events, records, replay
+from acacialatch import configuration, events, records, replay, routing
 from bench import fakes, naive
 
 DEADLINE_S = 3.0
@@ -239,6 +239,36 @@
     assert len(world.answers) == 6
 
 
+async def test_query_in_progress_survives_renamed_services(world, autojump_clock):
+    """Guards against a process that ends because a text renames its services."""
+    for server in world.fleet.servers.values():
+        server.extra_latency_s = 0.2
+    await world.call_for(0.1)
+    renamed = make_text("", 2).replace(b"desk-", b"bench-")
+    world.fleet.platform.publish(renamed)
+    for server in world.fleet.servers.values():
+        server.partition_map = 2
+    await trio.sleep(4)
+    assert len(world.answers) >= 6
+    assert {status for status, _ in world.answers} == {200}
+
+
+async def test_defect_ends_one_query_only(world, autojump_clock, monkeypatch):
+    """Guards against a defect met by one query that ends the process."""
+    entry = world.fleet.entries["entry-1"]
+    choose = routing.LeastLoaded.choose
+
+    def fail(policy, candidates, seed):
+        raise KeyError("defect")
+
+    monkeypatch.setattr(routing.LeastLoaded, "choose", fail)
+    status, body = await entry.post("/v1/query/desk", {"kind": "full_page"})
+    assert (status, body["error"]["kind"]) == (500, "internal")
+    monkeypatch.setattr(routing.LeastLoaded, "choose", choose)
+    status, _ = await entry.post("/v1/query/desk", {"kind": "full_page"})
+    assert status == 200
+
+
 async def test_waiting_parts_survive_a_repartitioning(world, autojump_clock):
     """Guards against parts of an old plan that stay queued after a restart."""
     for server in world.fleet.servers.values():
