--- a/acacialatch/dispatch.py
+++ b/acacialatch/dispatch.py
@@ -196,11 +196,11 @@
         A cold server whose incarnation is known is exempt: a probe would use up the
         budget that the work needs.
         """
-        is_cold = self.table.state(now, address) is model.ServerState.COLD
-        if is_cold and self.table.incarnation(address):
-            return False
         heard = self.table.last_heard(address)
-        return heard is None or now - heard > NEWS_MAX_S
+        if heard is not None and now - heard <= NEWS_MAX_S:
+            return False
+        is_cold = self.table.state(now, address) is model.ServerState.COLD
+        return not (is_cold and self.table.incarnation(address))
 
     def note_use(self, now: float, service: str) -> None:
         """Note that a query or request needs a leaf service."""
--- a/acacialatch/servers.py
+++ b/acacialatch/servers.py
@@ -240,7 +240,8 @@
         row = self._rows.get(address)
         if row is None or row.runs.is_cold():
             return True
-        return row.state() in (model.ServerState.DEAD, model.ServerState.LEAVING)
+        # As `state` would tell, without its other checks: this runs at every send.
+        return row.dead is not None or row.is_leaving()
 
     def is_probe_due(self, now: float, address: str) -> bool:
         """Return whether one probe may be sent now.
