--- a/acacialatch/planner.py
+++ b/acacialatch/planner.py
@@ -27,6 +27,37 @@
     )
 
 
+def make_plan(
+    configuration: model.Configuration,
+    revision: int,
+    query: model.Query,
+    list_versions: typing.Callable[[str], typing.Mapping[str, tuple[int, ...]]],
+    lowest: typing.Mapping[str, int],
+) -> attempts.Plan | None:
+    """Return what a query reads, or None while an index has no known version.
+
+    Parameters
+    ----------
+    configuration : model.Configuration
+        Configuration in force.
+    revision : int
+        Its revision.
+    query : model.Query
+        Query whose service exists in the configuration.
+    list_versions : callable
+        Returns the versions of an index by address of the listed servers.
+    lowest : mapping of str to int
+        Lowest version accepted for each index.
+    """
+    parts = list_parts(configuration, query)
+    held = {
+        index: list_versions(index)
+        for index in dict.fromkeys(part.index for part in parts)
+    }
+    versions = pin_versions(configuration, parts, held, lowest)
+    return None if versions is None else attempts.Plan(revision, parts, versions)
+
+
 def list_key_parts(
     configuration: model.Configuration, name: str, key: int
 ) -> tuple[attempts.Part, ...]:
--- a/acacialatch/queries.py
+++ b/acacialatch/queries.py
@@ -6,6 +6,7 @@
 import typing
 
 from acacialatch import (
+    activequery,
     admission,
     attempts,
     budgets,
@@ -16,7 +17,6 @@
     planner,
     records,
     routing,
-    scatter,
     subrequests,
 )
 
@@ -50,34 +50,6 @@
 }
 
 
-class _Active:
-    """A query in progress."""
-
-    def __init__(
-        self,
-        now: float,
-        query: model.Query,
-        configuration: model.Configuration,
-        floor: tuple[int, int],
-        seed: int,
-        policy: routing.ReplicaPolicy,
-    ):
-        self.started = now
-        self.query = query
-        self.configuration = configuration
-        self.next_configuration = configuration
-        self.floor = floor
-        self.seed = seed
-        self.scatter = scatter.Scatter(query, floor, seed, policy)
-        self.writer: records.RecordWriter | None = None
-        self.plan: attempts.Plan | None = None
-        self.wake_at = query.deadline
-        self.sends: dict[int, int] = {}
-        self.timeouts: dict[int, float] = {}
-        self.purposes: dict[int, attempts.Purpose] = {}
-        self.finished = False
-
-
 class _Sent(typing.NamedTuple):
     answer_id: str
     attempt: int
@@ -112,7 +84,7 @@
         self._list_members = list_members
         self._policy = policy
         self._seed = seed
-        self._active: dict[str, _Active] = {}
+        self._active: dict[str, activequery.ActiveQuery] = {}
         self._unplanned: dict[str, model.Query] = {}
         self._sent: dict[int, _Sent] = {}
         self._queues: dict[str, admission.AdmissionQueue[tuple[str, int]]] = {}
@@ -251,8 +223,7 @@
             self._schedule_look(now)
             return
         del self._unplanned[query.answer_id]
-        active = self._activate(now, query, configuration)
-        active.plan = plan
+        active = self._activate(now, query, configuration, plan)
         self._feed(now, active, attempts.Start(plan))
 
     def _make_plan(
@@ -261,28 +232,31 @@
         query: model.Query,
         lowest: typing.Mapping[str, int],
     ) -> attempts.Plan | None:
-        parts = planner.list_parts(configuration, query)
-        held = {
-            index: self._dispatcher.table.versions(index)
-            for index in dict.fromkeys(part.index for part in parts)
-        }
-        versions = planner.pin_versions(configuration, parts, held, lowest)
-        if versions is None:
-            return None
-        return attempts.Plan(self._store.revision, parts, versions)
+        return planner.make_plan(
+            configuration,
+            self._store.revision,
+            query,
+            self._dispatcher.table.versions,
+            lowest,
+        )
 
     def _activate(
-        self, now: float, query: model.Query, configuration: model.Configuration
-    ) -> _Active:
-        floor = configuration.kinds[query.kind].floor
+        self,
+        now: float,
+        query: model.Query,
+        configuration: model.Configuration,
+        plan: attempts.Plan,
+    ) -> activequery.ActiveQuery:
         # The seed depends on the query alone, so a record can repeat it.
         seed = random.Random(f"{self._seed} {query.answer_id}").getrandbits(32)
-        active = _Active(now, query, configuration, floor, seed, self._policy)
+        active = activequery.ActiveQuery(
+            now, query, configuration, plan, seed, self._policy
+        )
         active.writer = self._open_record(active)
         self._active[query.answer_id] = active
         return active
 
-    def _open_record(self, active: _Active) -> records.RecordWriter:
+    def _open_record(self, active: activequery.ActiveQuery) -> records.RecordWriter:
         store = self._store
         header = records.Header(
             answer_id=active.query.answer_id,
@@ -314,7 +288,9 @@
             active.sends.pop(sent.attempt, None)
             self._feed(now, active, event)
 
-    def _feed(self, now: float, active: _Active, event: attempts.Event) -> None:
+    def _feed(
+        self, now: float, active: activequery.ActiveQuery, event: attempts.Event
+    ) -> None:
         """Feed an event; a defect ends this query, not the process with all others."""
         try:
             self._feed_all(now, active, event)
@@ -329,7 +305,9 @@
                 self._actions.append(events.CountMetric("queries_failed"))
                 self._close(now, active)
 
-    def _feed_all(self, now: float, active: _Active, event: attempts.Event) -> None:
+    def _feed_all(
+        self, now: float, active: activequery.ActiveQuery, event: attempts.Event
+    ) -> None:
         """Feed an event, and every event that its decisions cause at once."""
         pending = collections.deque([event])
         while pending and not active.finished:
@@ -345,7 +323,7 @@
                     pending.append(follow_up)
 
     def _carry_out(
-        self, now: float, active: _Active, decision: attempts.Decision
+        self, now: float, active: activequery.ActiveQuery, decision: attempts.Decision
     ) -> attempts.Event | None:
         match decision:
             case attempts.Choose():
@@ -368,9 +346,12 @@
         return None
 
     def _make_view(
-        self, now: float, active: _Active, number: int, purpose: attempts.Purpose
+        self,
+        now: float,
+        active: activequery.ActiveQuery,
+        number: int,
+        purpose: attempts.Purpose,
     ) -> attempts.View:
-        assert active.plan is not None
         service = active.configuration.services[active.plan.parts[number].service]
         candidates = tuple(
             self._dispatcher.make_candidate(now, replica)
@@ -396,9 +377,8 @@
         return True
 
     def _send(
-        self, now: float, active: _Active, send: attempts.Send
+        self, now: float, active: activequery.ActiveQuery, send: attempts.Send
     ) -> attempts.Event | None:
-        assert active.plan is not None
         part = active.plan.parts[send.part]
         service = active.configuration.services[part.service]
         # The state may have changed since the view, for example the permit is spent.
@@ -422,7 +402,9 @@
         self._actions.append(events.CountMetric(_METRICS[send.purpose]))
         return None
 
-    def _cancel(self, now: float, active: _Active, attempt: int) -> None:
+    def _cancel(
+        self, now: float, active: activequery.ActiveQuery, attempt: int
+    ) -> None:
         send_id = active.sends.pop(attempt, None)
         sent = None if send_id is None else self._sent.pop(send_id, None)
         if send_id is None or sent is None:
@@ -449,8 +431,7 @@
         else:
             self._actions += self._dispatcher.end_cancelled(now, send_id)
 
-    def _queue(self, now: float, active: _Active, part: int) -> None:
-        assert active.plan is not None
+    def _queue(self, now: float, active: activequery.ActiveQuery, part: int) -> None:
         service = active.plan.parts[part].service
         queue = self._queues.get(service)
         if queue is None:
@@ -483,21 +464,21 @@
         if queue is not None and not queue:
             self._queues.pop(service, None)
 
-    def _replan(self, active: _Active) -> attempts.Plan | None:
+    def _replan(self, active: activequery.ActiveQuery) -> attempts.Plan | None:
         configuration = self._store.configuration
         assert configuration is not None
-        assert active.plan is not None
         if active.query.service not in configuration.services:
             return None
         lowest = dict(active.plan.versions)
         active.next_configuration = configuration
         return self._make_plan(configuration, active.query, lowest)
 
-    def _adopt(self, active: _Active, plan: attempts.Plan | None) -> None:
+    def _adopt(
+        self, active: activequery.ActiveQuery, plan: attempts.Plan | None
+    ) -> None:
         """Follow scatter to a new plan, unless scatter refused it."""
         if plan is None or active.scatter.plan is not plan:
             return
-        assert active.plan is not None
         for number, part in enumerate(active.plan.parts):
             queue = self._queues.get(part.service)
             if queue is not None:
@@ -505,8 +486,10 @@
         active.plan = plan
         active.configuration = active.next_configuration
 
-    def _finish(self, now: float, active: _Active, outcome: attempts.Outcome) -> None:
-        revision = 0 if active.plan is None else active.plan.revision
+    def _finish(
+        self, now: float, active: activequery.ActiveQuery, outcome: attempts.Outcome
+    ) -> None:
+        revision = active.plan.revision
         answer_id = active.query.answer_id
         self._actions.append(events.AnswerQuery(answer_id, revision, outcome))
         if outcome.failure is not None:
@@ -516,7 +499,7 @@
         self._actions.append(events.TimeMetric("query_time", now - active.started))
         self._close(now, active)
 
-    def _close(self, now: float, active: _Active) -> None:
+    def _close(self, now: float, active: activequery.ActiveQuery) -> None:
         active.finished = True
         answer_id = active.query.answer_id
         del self._active[answer_id]
