--- a/acacialatch/activequery.py
+++ b/acacialatch/activequery.py
@@ -1,6 +1,6 @@
 """State of one query in progress at the engine."""
 
-from acacialatch import attempts, model, records, routing, scatter
+from acacialatch import attempts, errors, events, model, records, routing, scatter
 
 
 class ActiveQuery:
@@ -62,3 +62,11 @@
         self.timeouts: dict[int, float] = {}
         self.purposes: dict[int, attempts.Purpose] = {}
         self.finished = False
+
+
+def answer_failure(
+    query: model.Query, revision: int, failure: errors.Failure
+) -> events.AnswerQuery:
+    """Return the answer to a query that was refused before it started."""
+    outcome = attempts.Outcome(failure, (), (), (), 0, 0, ())
+    return events.AnswerQuery(query.answer_id, revision, outcome)
--- a/acacialatch/admission.py
+++ b/acacialatch/admission.py
@@ -202,3 +202,60 @@
         if len(heap) > _STALE_FACTOR * self._counts[kind] + _STALE_MIN:
             heap[:] = [place for place in heap if place[1] in self._entries]
             heapq.heapify(heap)
+
+
+class ServiceQueues(typing.Generic[_Item]):
+    """One queue for each service that has waiting entries.
+
+    Parameters
+    ----------
+    limit, limit_per_kind : int
+        See `AdmissionQueue`.
+    """
+
+    def __init__(self, limit: int, limit_per_kind: int) -> None:
+        self._limits = (limit, limit_per_kind)
+        self._queues: dict[str, AdmissionQueue[_Item]] = {}
+
+    def __len__(self) -> int:
+        return sum(map(len, self._queues.values()))
+
+    def list_services(self) -> list[str]:
+        """Return the services that have waiting entries."""
+        return list(self._queues)
+
+    def count(self, service: str) -> int:
+        """Return the number of entries that wait for a service."""
+        return len(self._queues.get(service, ()))
+
+    def push(
+        self,
+        now: float,
+        service: str,
+        item: _Item,
+        kind: model.QueryKind,
+        deadline: float,
+    ) -> result.Result[None, errors.Failure]:
+        """Add an entry, in place of an equal one; see `AdmissionQueue.push`."""
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = self._queues[service] = AdmissionQueue(*self._limits)
+        queue.remove(item)
+        return queue.push(now, item, kind, deadline)
+
+    def pop(self, now: float, service: str) -> _Item | None:
+        """Grant one entry of a service; expired ones are dropped."""
+        queue = self._queues.get(service)
+        if queue is None:
+            return None
+        item = queue.pop(now)
+        queue.expire(now)
+        if not queue:
+            del self._queues[service]
+        return item
+
+    def remove(self, service: str, item: _Item) -> None:
+        """Remove an entry if it waits."""
+        queue = self._queues.get(service)
+        if queue is not None:
+            queue.remove(item)
--- a/acacialatch/engine.py
+++ b/acacialatch/engine.py
@@ -6,6 +6,7 @@
 import result
 
 from acacialatch import (
+    activequery,
     bodies,
     control,
     dispatch,
@@ -270,7 +271,9 @@
     ) -> list[events.Action]:
         if self._refuses:
             failure = errors.Failure(errors.ErrorKind.SHUTTING_DOWN)
-            return [queries.answer_failure(event.query, self._store.revision, failure)]
+            return [
+                activequery.answer_failure(event.query, self._store.revision, failure)
+            ]
         return self._queries.start(now, event.query)
 
     def _receive(self, now: float, event: events.ServerReplied) -> list[events.Action]:
--- a/acacialatch/queries.py
+++ b/acacialatch/queries.py
@@ -33,16 +33,6 @@
 RETRY_DELAY_S = 0.25
 """Time after which parts that wait without a usable replica look again."""
 
-_CAUSES = {
-    events.SendCause.NO_CONNECTION: attempts.Cause.NOT_SENT,
-    events.SendCause.CONNECT_REFUSED: attempts.Cause.CONNECT_FAILED,
-    events.SendCause.CONNECT_TIMEOUT: attempts.Cause.CONNECT_FAILED,
-    events.SendCause.NO_REPLY: attempts.Cause.TIMEOUT,
-    events.SendCause.CONNECTION_LOST: attempts.Cause.CONNECTION_LOST,
-    events.SendCause.BAD_REPLY: attempts.Cause.BAD_REPLY,
-}
-
-
 _METRICS = {
     attempts.Purpose.FIRST: "sub_requests",
     attempts.Purpose.HEDGE: "hedges",
@@ -87,7 +77,8 @@
         self._active: dict[str, activequery.ActiveQuery] = {}
         self._unplanned: dict[str, model.Query] = {}
         self._sent: dict[int, _Sent] = {}
-        self._queues: dict[str, admission.AdmissionQueue[tuple[str, int]]] = {}
+        self._queues: admission.ServiceQueues[tuple[str, int]]
+        self._queues = admission.ServiceQueues(QUEUE_MAX, QUEUE_PER_KIND_MAX)
         self._timers: list[tuple[float, str]] = []
         self._budgets = budgets.SubRequestBudgets(model.Policy())
         self._actions: list[events.Action] = []
@@ -95,9 +86,8 @@
 
     def measure(self) -> list[events.Action]:
         """Return gauges of the parts that wait and of those in progress."""
-        waiting = sum(len(queue) for queue in self._queues.values())
         return [
-            events.SetMetric("waiting", waiting),
+            events.SetMetric("waiting", len(self._queues)),
             events.SetMetric("in_flight", len(self._sent)),
         ]
 
@@ -123,7 +113,7 @@
         refusal = self._find_refusal(now)
         if refusal is not None:
             return [
-                answer_failure(query, self._store.revision, refusal),
+                activequery.answer_failure(query, self._store.revision, refusal),
                 events.CountMetric("queries"),
                 events.CountMetric("queries_failed"),
             ]
@@ -146,10 +136,12 @@
         failure = errors.Failure(errors.ErrorKind.SHUTTING_DOWN)
         revision = self._store.revision
         for query in list(self._unplanned.values()):
-            self._actions.append(answer_failure(query, revision, failure))
+            self._actions.append(activequery.answer_failure(query, revision, failure))
         self._unplanned.clear()
         for active in list(self._active.values()):
-            self._actions.append(answer_failure(active.query, revision, failure))
+            self._actions.append(
+                activequery.answer_failure(active.query, revision, failure)
+            )
             active.finished = True
             self._close(now, active)
         return self._take_actions()
@@ -172,8 +164,7 @@
         sent = self._sent.pop(event.send_id)
         if event.bytes_sent:
             self._budgets.note_failure(sent.service)
-        cause = _CAUSES[event.cause]
-        self._feed_sent(now, sent, attempts.Failed(sent.attempt, cause))
+        self._feed_sent(now, sent, subrequests.read_failure(sent.attempt, event))
         self._grant(now, sent.service)
         return self._take_actions()
 
@@ -199,7 +190,7 @@
         self._next_look = float("inf")
         for query in list(self._unplanned.values()):
             self._plan_query(now, query)
-        for service in list(self._queues):
+        for service in self._queues.list_services():
             self._grant(now, service)
 
     # Planning.
@@ -278,7 +269,7 @@
             errors.ErrorKind.NO_COMMON_VERSION, "no index version is known yet"
         )
         revision = self._store.revision
-        self._actions.append(answer_failure(query, revision, failure))
+        self._actions.append(activequery.answer_failure(query, revision, failure))
 
     # Decisions of scatter.
 
@@ -300,7 +291,9 @@
             if not active.finished:
                 failure = errors.Failure(errors.ErrorKind.INTERNAL)
                 self._actions.append(
-                    answer_failure(active.query, self._store.revision, failure)
+                    activequery.answer_failure(
+                        active.query, self._store.revision, failure
+                    )
                 )
                 self._actions.append(events.CountMetric("queries_failed"))
                 self._close(now, active)
@@ -433,13 +426,9 @@
 
     def _queue(self, now: float, active: activequery.ActiveQuery, part: int) -> None:
         service = active.plan.parts[part].service
-        queue = self._queues.get(service)
-        if queue is None:
-            queue = admission.AdmissionQueue(QUEUE_MAX, QUEUE_PER_KIND_MAX)
-            self._queues[service] = queue
-        item = (active.query.answer_id, part)
-        queue.remove(item)
-        pushed = queue.push(now, item, active.query.kind, active.query.deadline)
+        query = active.query
+        item = (query.answer_id, part)
+        pushed = self._queues.push(now, service, item, query.kind, query.deadline)
         if pushed.is_err():
             # The part stays missing; the query says so at its deadline.
             self._actions.append(events.CountMetric("refused"))
@@ -447,22 +436,15 @@
 
     def _grant(self, now: float, service: str) -> None:
         """Offer replicas to waiting parts until one finds none."""
-        queue = self._queues.get(service)
-        while queue:
-            item = queue.pop(now)
-            queue.expire(now)
-            if item is None:
-                break
+        while (item := self._queues.pop(now, service)) is not None:
             active = self._active.get(item[0])
             if active is None:
                 continue
-            before = len(queue)
+            before = self._queues.count(service)
             view = self._make_view(now, active, item[1], active.purposes[item[1]])
             self._feed(now, active, view)
-            if len(queue) > before:
+            if self._queues.count(service) > before:
                 break
-        if queue is not None and not queue:
-            self._queues.pop(service, None)
 
     def _replan(self, active: activequery.ActiveQuery) -> attempts.Plan | None:
         configuration = self._store.configuration
@@ -480,9 +462,7 @@
         if plan is None or active.scatter.plan is not plan:
             return
         for number, part in enumerate(active.plan.parts):
-            queue = self._queues.get(part.service)
-            if queue is not None:
-                queue.remove((active.query.answer_id, number))
+            self._queues.remove(part.service, (active.query.answer_id, number))
         active.plan = plan
         active.configuration = active.next_configuration
 
@@ -520,11 +500,3 @@
     def _take_actions(self) -> list[events.Action]:
         actions, self._actions = self._actions, []
         return actions
-
-
-def answer_failure(
-    query: model.Query, revision: int, failure: errors.Failure
-) -> events.AnswerQuery:
-    """Return the answer to a query that was refused before it started."""
-    outcome = attempts.Outcome(failure, (), (), (), 0, 0, ())
-    return events.AnswerQuery(query.answer_id, revision, outcome)
--- a/acacialatch/subrequests.py
+++ b/acacialatch/subrequests.py
@@ -8,6 +8,16 @@
 """A server without the snapshot is not overloaded, so this is no failure."""
 
 
+_CAUSES = {
+    events.SendCause.NO_CONNECTION: attempts.Cause.NOT_SENT,
+    events.SendCause.CONNECT_REFUSED: attempts.Cause.CONNECT_FAILED,
+    events.SendCause.CONNECT_TIMEOUT: attempts.Cause.CONNECT_FAILED,
+    events.SendCause.NO_REPLY: attempts.Cause.TIMEOUT,
+    events.SendCause.CONNECTION_LOST: attempts.Cause.CONNECTION_LOST,
+    events.SendCause.BAD_REPLY: attempts.Cause.BAD_REPLY,
+}
+
+
 def make_send(
     now: float,
     begun: dispatch.Begun,
@@ -59,6 +69,11 @@
     )
 
 
+def read_failure(attempt: int, event: events.SendFailed) -> attempts.Failed:
+    """Turn the failure of an exchange into an event of scatter."""
+    return attempts.Failed(attempt, _CAUSES[event.cause])
+
+
 def read_reply(
     attempt: int, index: str, event: events.ServerReplied
 ) -> attempts.Reply | attempts.Failed:
