--- a/acacialatch/queries.py
+++ b/acacialatch/queries.py
@@ -30,7 +30,7 @@
 ATTEMPT_TIMEOUT_FACTOR = 10.0
 """An attempt is given up after this many hedge delays."""
 
-RETRY_DELAY_S = 0.25
+WAIT_POLL_S = 0.25
 """Time after which parts that wait without a usable replica look again."""
 
 _METRICS = {
@@ -494,7 +494,7 @@
 
     # Helpers.
 
-    def _schedule_look(self, now: float, delay_s: float = RETRY_DELAY_S) -> None:
+    def _schedule_look(self, now: float, delay_s: float = WAIT_POLL_S) -> None:
         self._next_look = min(self._next_look, now + delay_s)
 
     def _take_actions(self) -> list[events.Action]:
