--- a/acacialatch/budgets.py
+++ b/acacialatch/budgets.py
@@ -2,7 +2,7 @@
 
 Both budgets count in integers, so no rounding error accumulates over a long run.
 The buckets do not depend on time: their bounds hold in any window, the worst second
-included. Only one retry in `RETRY_TRICKLE_S` for each service comes on top.
+included. Only one retry in `RETRY_PERIOD_S` for each service comes on top.
 """
 
 from acacialatch import model
@@ -18,7 +18,7 @@
 # Time between retries of one service while its throttle allows none, in seconds.
 # Without it, a service that only has lookups would never be retried after an outage,
 # since nothing would refill the throttle.
-RETRY_TRICKLE_S = 0.1
+RETRY_PERIOD_S = 0.1
 _UNITS_PER_TOKEN = 10
 _UNITS_PER_SUCCESS = 1
 
@@ -145,7 +145,7 @@
         self._hedges = TokenBucket(*policy.hedge_budget)
         self._tokens = policy.retry_tokens
         self._throttles: dict[str, RetryThrottle] = {}
-        self._trickled: dict[str, float] = {}
+        self._last_allowed: dict[str, float] = {}
 
     def note_first(self) -> None:
         """Note the first send of a sub-request, which earns part of a hedge."""
@@ -179,9 +179,9 @@
         """
         if self._find(service).allows_retry():
             return True
-        if now - self._trickled.get(service, float("-inf")) < RETRY_TRICKLE_S:
+        if now - self._last_allowed.get(service, float("-inf")) < RETRY_PERIOD_S:
             return False
-        self._trickled[service] = now
+        self._last_allowed[service] = now
         return True
 
     def _find(self, service: str) -> RetryThrottle:
--- a/acacialatch/control.py
+++ b/acacialatch/control.py
@@ -98,7 +98,7 @@
         self._round = 0
         self._exchanging: set[str] = set()
         self._is_leaving = False
-        self._restrained: str = ""
+        self._logged_state: str = ""
 
     def set_leaving(self, now: float) -> None:
         """Announce that this entry instance is shutting down, at once."""
@@ -221,9 +221,9 @@
     def _note_currency(self, now: float) -> list[events.Action]:
         """Log when new work is held back and when it is let go again."""
         state = "current" if self._dispatcher.is_current(now) else "not current"
-        if state == self._restrained:
+        if state == self._logged_state:
             return []
-        before, self._restrained = self._restrained, state
+        before, self._logged_state = self._logged_state, state
         return [
             events.NoteChange("freshness", before, state, "confirmation"),
             events.WriteLog("config:", f"configuration is {state}"),
