--- a/acacialatch/httpclient.py
+++ b/acacialatch/httpclient.py
@@ -20,37 +20,6 @@
 _RECEIVE_BYTES = 65536
 
 
-class Call(typing.NamedTuple):
-    """One exchange with a backend server.
-
-    Attributes
-    ----------
-    address : str
-        IP address and port of the server.
-    method, path : str
-        Method and target of the request.
-    headers : tuple of (str, str)
-        Header fields besides `host` and `content-length`.
-    body : bytes
-        Request body.
-    timeout_s : float
-        Longest time for the whole exchange, in seconds.
-    needs_proved : bool
-        Use only a new connection or one proved in the last `PROVED_FOR_S`.
-    may_connect : bool
-        Whether a new connection may be set up.
-    """
-
-    address: str
-    method: str
-    path: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    timeout_s: float
-    needs_proved: bool = False
-    may_connect: bool = True
-
-
 class Reply(typing.NamedTuple):
     """A whole reply of a backend server."""
 
@@ -84,13 +53,15 @@
 
     @abc.abstractmethod
     async def exchange(
-        self, call: Call, on_first_byte: typing.Callable[[float], bool] | None = None
+        self,
+        call: events.SendToServer,
+        on_first_byte: typing.Callable[[float], bool] | None = None,
     ) -> Reply | Failed:
         """Run one exchange.
 
         Parameters
         ----------
-        call : Call
+        call : events.SendToServer
             The exchange to run.
         on_first_byte : callable, optional
             Called directly before the first byte is sent, with the time of the last
@@ -151,7 +122,9 @@
             self._close(address, self._idle[address].pop())
 
     async def exchange(
-        self, call: Call, on_first_byte: typing.Callable[[float], bool] | None = None
+        self,
+        call: events.SendToServer,
+        on_first_byte: typing.Callable[[float], bool] | None = None,
     ) -> Reply | Failed:
         """Run one exchange; see `ServerClient.exchange`."""
         started = trio.current_time()
@@ -194,7 +167,9 @@
             if connection is not None:
                 self._release(call.address, connection, reusable)
 
-    async def _acquire(self, call: Call) -> _Connection | events.SendCause:
+    async def _acquire(
+        self, call: events.SendToServer
+    ) -> _Connection | events.SendCause:
         self._close_expired(call.address)
         idle = self._idle.get(call.address)
         now = trio.current_time()
@@ -229,7 +204,7 @@
     async def _run(
         self,
         connection: _Connection,
-        call: Call,
+        call: events.SendToServer,
         note_first_byte: typing.Callable[[], None],
         started: float,
     ) -> Reply:
--- a/acacialatch/runner.py
+++ b/acacialatch/runner.py
@@ -141,17 +141,6 @@
     async def _exchange(
         self, send: events.SendToServer, scope: trio.CancelScope
     ) -> None:
-        call = httpclient.Call(
-            send.address,
-            send.method,
-            send.path,
-            send.headers,
-            send.body,
-            send.timeout_s,
-            send.needs_proved,
-            send.may_connect,
-        )
-
         def ask(proved_at: float) -> bool:
             now = trio.current_time()
             allowed, actions = self._engine.allow_first_byte(
@@ -163,7 +152,7 @@
         outcome: httpclient.Reply | httpclient.Failed | None = None
         with scope:
             outcome = await self._client.exchange(
-                call, ask if send.needs_proved else None
+                send, ask if send.needs_proved else None
             )
         idle = self._client.count_idle(send.address)
         self.submit(events.PoolChanged(send.address, idle))
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -93,7 +93,7 @@
 
     async def exchange(
         self,
-        call: httpclient.Call,
+        call: events.SendToServer,
         on_first_byte: typing.Callable[[float], bool] | None = None,
     ) -> httpclient.Reply | httpclient.Failed:
         """Run one exchange; see `httpclient.ServerClient`."""
@@ -132,7 +132,7 @@
                 self._release(call.address, connection, is_whole)
 
     async def _acquire(
-        self, call: httpclient.Call
+        self, call: events.SendToServer
     ) -> FakeConnection | events.SendCause:
         server = self._servers[call.address]
         idle = self._idle[call.address]
@@ -175,7 +175,7 @@
         return FakeConnection(server)
 
     async def _talk(
-        self, call: httpclient.Call, connection: FakeConnection
+        self, call: events.SendToServer, connection: FakeConnection
     ) -> backend.Reply | None:
         server = connection.server
         await trio.sleep(self._latency(server))
--- a/bench/naive.py
+++ b/bench/naive.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from acacialatch import httpclient, model, planner
+from acacialatch import events, httpclient, model, planner
 from bench import fakes
 
 NO_LIMIT = 1_000_000
@@ -66,7 +66,8 @@
             ("x-key-ranges", f"{part.keys.start}-{part.keys.end}"),
         )
         body = json.dumps({"kind": "full_page", "key": None, "limit": 100})
-        call = httpclient.Call(
+        call = events.SendToServer(
+            1,
             self._random.choice(replicas).address,
             "POST",
             "/query",
--- a/bench/wires.py
+++ b/bench/wires.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from acacialatch import httpclient, messages, peers, wire
+from acacialatch import events, httpclient, messages, peers, wire
 from bench import sizes
 
 EXCHANGES = 50
@@ -111,7 +111,8 @@
     address: str, headers: dict[str, str], counts: _Counts
 ) -> Exchange:
     client = httpclient.PooledClient(lambda _: CONNECTIONS)
-    call = httpclient.Call(
+    call = events.SendToServer(
+        1,
         address,
         "POST",
         "/query",
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -34,8 +34,8 @@
     return f"{host}:{port}"
 
 
-def make_call(address: str, **changes: typing.Any) -> httpclient.Call:
-    call = httpclient.Call(address, "GET", "/status", (), b"", 5.0)
+def make_call(address: str, **changes: typing.Any) -> events.SendToServer:
+    call = events.SendToServer(1, address, "GET", "/status", (), b"", 5.0)
     return call._replace(**changes)
 
 
