--- /dev/null
+++ b/acacialatch/entrance.py
@@ -0,0 +1,393 @@
+"""Sockets, timers and signals around the forwarder."""
+
+import abc
+import contextlib
+import math
+import random
+import signal
+import time
+import typing
+
+import result
+import trio
+
+from acacialatch import (
+    backendclient,
+    entrysettings,
+    errors,
+    exposition,
+    forwarder,
+    forwarding,
+    gossip,
+    httpserver,
+    logs,
+    members,
+    registry,
+    store,
+)
+
+LEAVE_S = 2.5
+"""Time after a stop signal for which new requests are still served, in seconds.
+
+Callers keep addresses for their lifetime, and the directory of other entry instances
+takes a moment to learn of the stop.
+"""
+
+RELOAD_PERIOD_S = 1.0
+"""Period in seconds at which the settings file is looked at."""
+
+HOUSEKEEPING_S = 0.25
+"""Period in seconds of work that no event starts."""
+
+LOG_DESCRIPTOR = 1
+"""Standard output."""
+
+
+class CallerProtocol(abc.ABC):
+    """Translates between callers' HTTP messages and requests and answers."""
+
+    @abc.abstractmethod
+    def decode(
+        self, message: httpserver.Request
+    ) -> forwarding.Request | errors.ErrorKind:
+        """Return the request, or why it cannot be taken."""
+
+    @abc.abstractmethod
+    def encode(
+        self, request: forwarding.Request | None, answer: forwarding.Answer
+    ) -> httpserver.Response:
+        """Return the HTTP message for an answer."""
+
+    @abc.abstractmethod
+    def is_readiness(self, message: httpserver.Request) -> bool:
+        """Return whether this asks if callers may be sent here."""
+
+    @abc.abstractmethod
+    def is_address_question(self, message: httpserver.Request) -> bool:
+        """Return whether this asks which addresses to use."""
+
+    @abc.abstractmethod
+    def encode_addresses(
+        self, addresses: list[str], lifetime_s: float
+    ) -> httpserver.Response:
+        """Return the answer to the question which addresses to use."""
+
+
+class Interfaces(typing.NamedTuple):
+    """What the deployment speaks."""
+
+    callers: CallerProtocol
+    backends: backendclient.BackendProtocol
+    store: store.Store
+
+
+class _Waiting:
+    """A caller's request until its answer."""
+
+    def __init__(self) -> None:
+        self.done = trio.Event()
+        self.answer: forwarding.Answer | None = None
+
+
+class Entrance(backendclient.Receiver):
+    """One entry instance that serves the forwarding interface.
+
+    Parameters
+    ----------
+    settings : entrysettings.EntrySettings
+        Checked settings.
+    interfaces : Interfaces
+        Protocols of the deployment.
+    reload : callable
+        Returns new settings, or what is wrong with them, if they have changed.
+    """
+
+    def __init__(
+        self,
+        settings: entrysettings.EntrySettings,
+        interfaces: Interfaces,
+        reload: typing.Callable[
+            [], result.Result[entrysettings.EntrySettings, str] | None
+        ],
+    ):
+        self._settings = settings
+        self._interfaces = interfaces
+        self._reload = reload
+        chance = random.SystemRandom()
+        self._forwarder = forwarder.Forwarder(
+            settings.zone, settings.budgets, chance.getrandbits(32)
+        )
+        self._registry = registry.Registry(self._forwarder)
+        own = members.Member(
+            settings.name,
+            time.time_ns() // 1_000_000,
+            0,
+            settings.caller_address,
+            settings.gossip_address,
+            settings.zone,
+            False,
+        )
+        self._members = members.MemberTable(own, settings.seeds, chance.getrandbits(32))
+        self._follower = store.Follower(
+            interfaces.store, self._registry, self._take_notes
+        )
+        self._log = logs.Log(LOG_DESCRIPTOR)
+        self._waiting: dict[int, _Waiting] = {}
+        self._latencies: dict[str, exposition.Histogram] = {}
+        self._wake = trio.Event()
+        self._timer_at = math.inf
+        self._stopping = False
+        self._in_progress = 0
+
+    async def run(self) -> None:
+        """Serve until a stop signal.
+
+        Raises
+        ------
+        OSError
+            An address of the settings cannot be used.
+        """
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._log.run)
+            self._client = backendclient.BackendClient(
+                self._interfaces.backends, self, nursery
+            )
+            self._gossip = gossip.Gossip(self._members, self._count_members)
+            await nursery.start(self._gossip.run)
+            self._callers = httpserver.Server(
+                self._handle, self._refuse, self._report_error, self._read_limits
+            )
+            accepting = trio.CancelScope()
+            listener = await httpserver.listen(self._settings.caller_address)
+            nursery.start_soon(self._accept, listener, accepting, nursery)
+            await self._serve_questions(nursery)
+            nursery.start_soon(self._follower.run)
+            nursery.start_soon(self._run_timers)
+            nursery.start_soon(self._keep_house)
+            nursery.start_soon(self._watch_settings)
+            logs.write(
+                logs.Part.PROCESS,
+                "started",
+                name=self._settings.name,
+                zone=self._settings.zone,
+                address=self._settings.caller_address,
+                incarnation=self._members.own.incarnation,
+            )
+            await self._wait_for_stop(accepting)
+            logs.write(logs.Part.PROCESS, "stopped", open=self._forwarder.open_count)
+            nursery.cancel_scope.cancel()
+
+    # Requests of callers.
+
+    async def _handle(self, message: httpserver.Request) -> httpserver.Response:
+        protocol = self._interfaces.callers
+        request = protocol.decode(message)
+        if isinstance(request, errors.ErrorKind):
+            logs.write(
+                logs.Part.REQUEST, "refused", error=request.value, path=message.path
+            )
+            return protocol.encode(None, forwarding.Refused(request))
+        started = trio.current_time()
+        number, actions = self._forwarder.accept(started, request)
+        waiting = _Waiting()
+        self._waiting[number] = waiting
+        try:
+            self._perform(actions)
+            await waiting.done.wait()
+        except trio.Cancelled:
+            self._perform(self._forwarder.abandon(trio.current_time(), number))
+            raise
+        finally:
+            del self._waiting[number]
+        assert waiting.answer is not None
+        return protocol.encode(request, waiting.answer)
+
+    def _refuse(self, kind: str) -> httpserver.Response:
+        answer = forwarding.Refused(errors.ErrorKind(kind))
+        return self._interfaces.callers.encode(None, answer)
+
+    def _report_error(self, error: Exception) -> None:
+        logs.write(logs.Part.PROCESS, "defect", error=repr(error))
+
+    def _read_limits(self) -> httpserver.Limits:
+        deployed = self._forwarder.deployment
+        if deployed is None:
+            return httpserver.Limits()
+        return httpserver.Limits(*deployed.limits)
+
+    # What becomes of sends.
+
+    def take_reply(self, number: int, reply: forwarding.Reply) -> None:
+        """Take a whole reply; see `backendclient.Receiver`."""
+        self._perform(self._forwarder.note_reply(trio.current_time(), number, reply))
+
+    def take_failure(self, number: int, failure: forwarding.SendFailure) -> None:
+        """Take a failure; see `backendclient.Receiver`."""
+        now = trio.current_time()
+        self._perform(self._forwarder.note_failure(now, number, failure))
+
+    # Actions.
+
+    def _perform(self, actions: list[forwarding.Action]) -> None:
+        for action in actions:
+            match action:
+                case forwarding.Send():
+                    self._client.send(action)
+                case forwarding.Cancel():
+                    self._client.cancel(action.number)
+                case forwarding.Respond():
+                    waiting = self._waiting.get(action.exchange)
+                    if waiting is not None:
+                        waiting.answer = action.answer
+                        waiting.done.set()
+                case forwarding.Note():
+                    self._write_note(action)
+        if self._forwarder.next_time() < self._timer_at:
+            self._wake.set()
+
+    def _write_note(self, note: forwarding.Note) -> None:
+        if note.values.get("outcome") == "answered":
+            route = note.values["route"]
+            histogram = self._latencies.setdefault(route, exposition.Histogram())
+            histogram.add(note.values["ms"] / 1000)
+        logs.write(logs.Part(note.part), note.text, **note.values)
+
+    def _take_notes(self, notes: list[forwarding.Note]) -> None:
+        for note in notes:
+            self._write_note(note)
+        self._update_readiness()
+
+    # Periodic work.
+
+    async def _run_timers(self) -> None:
+        while True:
+            self._wake = trio.Event()
+            self._timer_at = self._forwarder.next_time()
+            with trio.move_on_at(self._timer_at):
+                await self._wake.wait()
+            now = trio.current_time()
+            if now >= self._forwarder.next_time():
+                self._perform(self._forwarder.note_time(now))
+
+    async def _keep_house(self) -> None:
+        while True:
+            await trio.sleep(HOUSEKEEPING_S)
+            self._take_notes(self._registry.note_time(trio.current_time()))
+            self._count_members()
+
+    def _count_members(self) -> None:
+        count = self._members.count_sharing(trio.current_time())
+        self._forwarder.set_instances(count)
+
+    def _update_readiness(self) -> None:
+        ready = not self._stopping and self._forwarder.deployment is not None
+        if self._members.set_ready(ready):
+            logs.write(logs.Part.MEMBERSHIP, "readiness changed", ready=ready)
+
+    async def _watch_settings(self) -> None:
+        with trio.open_signal_receiver(signal.SIGHUP) as received:
+            while True:
+                with trio.move_on_after(RELOAD_PERIOD_S):
+                    await received.__anext__()
+                changed = self._reload()
+                if isinstance(changed, result.Ok):
+                    self._forwarder.set_budgets(changed.ok_value.budgets)
+                    self._members.set_seeds(changed.ok_value.seeds)
+                    logs.write(logs.Part.PROCESS, "settings reloaded")
+                elif changed is not None:
+                    reason = changed.err_value
+                    logs.write(logs.Part.PROCESS, "settings refused", reason=reason)
+
+    # Questions of callers and of the platform.
+
+    async def _serve_questions(self, nursery: trio.Nursery) -> None:
+        chosen = self._settings
+        for address, handler in (
+            (chosen.readiness_address, self._answer_readiness),
+            (chosen.directory_address, self._answer_addresses),
+            (chosen.metrics_address, self._answer_metrics),
+        ):
+            if address:
+                server = httpserver.Server(handler, self._refuse, self._report_error)
+                listener = await httpserver.listen(address)
+                nursery.start_soon(httpserver.serve_listener, server, listener, nursery)
+
+    async def _answer_readiness(
+        self, message: httpserver.Request
+    ) -> httpserver.Response:
+        if not self._interfaces.callers.is_readiness(message):
+            return self._refuse(errors.ErrorKind.UNKNOWN_PATH.value)
+        return httpserver.Response(200 if self._members.own.ready else 503, b"{}")
+
+    async def _answer_addresses(
+        self, message: httpserver.Request
+    ) -> httpserver.Response:
+        protocol = self._interfaces.callers
+        if not protocol.is_address_question(message):
+            return self._refuse(errors.ErrorKind.UNKNOWN_PATH.value)
+        ready = self._members.list_ready(trio.current_time())
+        if not ready:
+            return self._refuse(errors.ErrorKind.NO_CONFIGURATION.value)
+        addresses = sorted(one.caller_address for one in ready)
+        return protocol.encode_addresses(addresses, self._settings.address_lifetime_s)
+
+    async def _answer_metrics(self, message: httpserver.Request) -> httpserver.Response:
+        if message.path != self._settings.metrics_path:
+            return self._refuse(errors.ErrorKind.UNKNOWN_PATH.value)
+        now = trio.current_time()
+        heard_at = self._registry.heard_at
+        sample = exposition.Sample(
+            {
+                **{name: float(n) for name, n in self._forwarder.counts.items()},
+                "store_reads": float(self._follower.reads),
+                "store_failures": float(self._follower.failures),
+                "store_unreadable": float(self._registry.unreadable),
+                "connections_opened": float(self._client.opened),
+                "log_dropped": float(self._log.dropped),
+                "digests_malformed": float(self._gossip.malformed),
+            },
+            {
+                "requests_open": float(self._forwarder.open_count),
+                "backend_connections": float(self._client.connections),
+                "backend_servers": float(len(self._forwarder.backends)),
+                "entry_instances": float(self._members.count_sharing(now)),
+                "store_silent_s": math.inf if heard_at is None else now - heard_at,
+                "ready": float(self._members.own.ready),
+            },
+            self._latencies,
+        )
+        text = exposition.render(sample)
+        return httpserver.Response(200, text, (), "text/plain; version=0.0.4")
+
+    # Stop.
+
+    async def _wait_for_stop(self, accepting: trio.CancelScope) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+            await received.__anext__()
+            self._stopping = True
+            logs.write(
+                logs.Part.PROCESS, "stop signal", open=self._forwarder.open_count
+            )
+            self._update_readiness()
+            self._callers.announce_close()
+            await self._gossip.spread(self._members.list_all_targets())
+            with trio.move_on_after(self._settings.stop_s):
+                await trio.sleep(LEAVE_S)
+                accepting.cancel()
+                while self._forwarder.open_count or self._callers.busy:
+                    await trio.sleep(0.02)
+                return
+            self._perform(self._forwarder.stop(trio.current_time()))
+            # Lets the last answers leave.
+            await trio.sleep(0.05)
+
+    async def _accept(
+        self,
+        listener: trio.SocketListener,
+        scope: trio.CancelScope,
+        nursery: trio.Nursery,
+    ) -> None:
+        with scope:
+            await httpserver.serve_listener(self._callers, listener, nursery)
+        with contextlib.suppress(OSError):
+            await listener.aclose()
--- a/acacialatch/errors.py
+++ b/acacialatch/errors.py
@@ -34,6 +34,8 @@
     KEY_EXPIRED = "key_expired"
     NOT_RUN = "not_run"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    BACKEND_FAILED = "backend_failed"
+    REQUEST_TIMEOUT = "request_timeout"
     CALLER_GONE = "caller_gone"
     INTERNAL = "internal"
 
@@ -176,6 +178,15 @@
         False,
         "A backend server may or may not have run the request.",
     ),
+    ErrorKind.BACKEND_FAILED: Answer(
+        502,
+        RunState.UNKNOWN,
+        True,
+        "The backend servers that were tried gave no whole reply.",
+    ),
+    ErrorKind.REQUEST_TIMEOUT: Answer(
+        408, RunState.NOT_RUN, True, "The request did not arrive in time."
+    ),
     ErrorKind.CALLER_GONE: Answer(
         499,
         RunState.NOT_APPLICABLE,
--- /dev/null
+++ b/acacialatch/exchanges.py
@@ -0,0 +1,117 @@
+"""State of one forwarded request: its shards, its sends and its progress."""
+
+import dataclasses
+import math
+
+from acacialatch import backends, completion, deployment, forwarding
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One send to one backend server that is still open."""
+
+    number: int
+    backend: backends.Backend
+    started: float
+    hedge: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Leg:
+    """Part of a request that one service answers.
+
+    Attributes
+    ----------
+    service : str
+        Service that answers.
+    open : dict of int to Attempt
+        Sends without an outcome yet.
+    tried : set of str
+        Identities that were sent the request, or refused it.
+    runs : int
+        Sends after which a server may have run the request, open ones included.
+    reached : bool
+        Whether any send may have arrived, so that the next one is a repeat.
+    reply : forwarding.Reply or None
+        The reply that counts.
+    failure : forwarding.Reply or None
+        The last failure that a server gave itself.
+    lost : bool
+        Whether no reply is to be hoped for.
+    hedge_at : float
+        When a second send is due.
+    retry_at : float
+        When a leg that waits for a server looks again.
+    """
+
+    service: str
+    open: dict[int, Attempt] = dataclasses.field(default_factory=dict)
+    tried: set[str] = dataclasses.field(default_factory=set)
+    runs: int = 0
+    reached: bool = False
+    reply: forwarding.Reply | None = None
+    failure: forwarding.Reply | None = None
+    lost: bool = False
+    hedge_at: float = math.inf
+    retry_at: float = math.inf
+    trace: list[str] = dataclasses.field(default_factory=list)
+
+    @property
+    def is_settled(self) -> bool:
+        """Return whether nothing more is expected of the leg."""
+        return self.lost or self.reply is not None
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """One request of a caller from its arrival to its answer."""
+
+    number: int
+    request: forwarding.Request
+    route: deployment.Route
+    version: int
+    started: float
+    deadline: float
+    legs: list[Leg]
+    answered: bool = False
+    hedges: int = 0
+    retries: int = 0
+    # Legs that are settled without a reply, and with one.
+    lost: int = 0
+    arrived: int = 0
+    # Time of the timer that is set.
+    scheduled_at: float = math.inf
+
+    @property
+    def may_repeat(self) -> bool:
+        """Return whether a request that may have run may be sent again."""
+        return self.route.kind is deployment.RequestKind.IDEMPOTENT
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether any backend server may have run a part of the request."""
+        return any(leg.runs > 0 for leg in self.legs)
+
+    def progress(self, target: deployment.ShardTarget) -> completion.Progress:
+        """Return the inputs of the decision when to answer."""
+        return completion.Progress(
+            len(self.legs),
+            self.arrived,
+            self.lost,
+            target.coverage_min,
+            self.started,
+            self.route.objective_s,
+            self.deadline,
+        )
+
+    def next_time(self, now: float) -> float:
+        """Return the time at which the exchange must be looked at again."""
+        times = [self.deadline]
+        target = self.route.target
+        if isinstance(target, deployment.ShardTarget):
+            answer_times = completion.answer_times(self.progress(target))
+            times += [at for at in answer_times if at > now]
+        for leg in self.legs:
+            if not leg.is_settled:
+                times += (leg.hedge_at, leg.retry_at)
+        return min(times)
--- /dev/null
+++ b/acacialatch/forwarder.py
@@ -0,0 +1,619 @@
+"""Core of the forwarding interface: where requests go, and what callers are told.
+
+Events come in as method calls with a time; what is to be done comes back as a list of
+actions. Nothing here reads a clock, a socket or a file.
+"""
+
+import collections
+import heapq
+import math
+import random
+import typing
+
+from acacialatch import (
+    backends,
+    completion,
+    deployment,
+    errors,
+    exchanges,
+    forwarding,
+    latencies,
+    merging,
+    resends,
+)
+
+HEDGE_MEDIANS = 1.8
+"""Multiple of the median latency after which a second server is asked."""
+
+HEDGE_OBJECTIVES = 0.3
+"""Largest delay of a hedge, as a share of the latency objective."""
+
+WAIT_STEP_S = 0.01
+"""Period in seconds at which a request without a usable server looks again."""
+
+HOLD_OBJECTIVES = 0.25
+"""Longest wait for a usable server, as a share of the latency objective."""
+
+LINGER_S = 0.5
+"""Time in seconds that unneeded sends have to end without losing their connection."""
+
+RETRY_AFTER_S = 0.5
+"""When callers may come back after a refusal, in seconds, plus up to as much again."""
+
+DEADLINE_MARGIN_S = 0.005
+"""An answer leaves this long before the time at which the caller stops waiting."""
+
+
+class Budgets(typing.NamedTuple):
+    """Bounds on repeated sends for each service, over all entry instances."""
+
+    ratio: float = 0.2
+    allowance: float = 10.0
+    window_s: float = 10.0
+
+
+class Forwarder:
+    """Requests of callers in progress at one entry instance.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of this entry instance.
+    budgets : Budgets
+        Bounds on repeated sends.
+    seed : int
+        Seed of random choices.
+    """
+
+    def __init__(self, zone: str, budgets: Budgets, seed: int):
+        self.backends = backends.BackendTable(zone)
+        self.deployment: deployment.Deployment | None = None
+        self._routes = deployment.RouteTable(())
+        self._budgets = budgets
+        self._resends: dict[str, resends.ResendBudget] = {}
+        self._latencies: dict[str, latencies.LatencyWindow] = {}
+        self._random = random.Random(seed)
+        self._instances = 1
+        self._numbers = 0
+        self._exchanges: dict[int, exchanges.Exchange] = {}
+        self._sends: dict[int, tuple[exchanges.Exchange, exchanges.Leg]] = {}
+        # Sends of answered exchanges, which may end on their own until the time given.
+        self._lingering: dict[int, tuple[backends.Backend, float, float, str]] = {}
+        self._timers: list[tuple[float, int]] = []
+        self.closing = False
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    # State of the world.
+
+    @property
+    def open_count(self) -> int:
+        """Number of requests without an answer."""
+        return len(self._exchanges)
+
+    def set_instances(self, count: int) -> None:
+        """Set how many entry instances share limits and budgets."""
+        self._instances = max(1, count)
+
+    def set_budgets(self, budgets: Budgets) -> None:
+        """Change the bounds on repeated sends."""
+        self._budgets = budgets
+        for one in self._resends.values():
+            one.set_bounds(*budgets)
+
+    def put_deployment(self, new: deployment.Deployment) -> bool:
+        """Put a newer version in force; return whether it was newer."""
+        if self.deployment is not None and new.version <= self.deployment.version:
+            return False
+        self.deployment = new
+        self._routes = deployment.RouteTable(new.routes)
+        return True
+
+    # Requests.
+
+    def accept(
+        self, now: float, request: forwarding.Request
+    ) -> tuple[int, list[forwarding.Action]]:
+        """Take a request of a caller; return its number and what to do."""
+        self._numbers += 1
+        number = self._numbers
+        if self.deployment is None:
+            return number, self._refuse_new(
+                number, request, errors.ErrorKind.NO_CONFIGURATION
+            )
+        route = self._routes.find(request.host, request.path)
+        if route is None:
+            return number, self._refuse_new(
+                number, request, errors.ErrorKind.UNKNOWN_PATH
+            )
+        patience_s = route.timeout_s
+        if request.patience_s is not None:
+            patience_s = min(patience_s, request.patience_s - DEADLINE_MARGIN_S)
+        exchange = exchanges.Exchange(
+            number,
+            request,
+            route,
+            self.deployment.version,
+            now,
+            now + patience_s,
+            [exchanges.Leg(name) for name in self._choose_services(route.target)],
+        )
+        if patience_s <= 0:
+            return number, self._refuse_new(number, request, errors.ErrorKind.NOT_RUN)
+        self._exchanges[number] = exchange
+        actions: list[forwarding.Action] = []
+        for leg in exchange.legs:
+            self._find_resends(leg.service).note_request(now)
+            self._advance(now, exchange, leg, actions)
+        self._settle(now, exchange, actions)
+        self._schedule(now, exchange)
+        return number, actions
+
+    def abandon(self, now: float, number: int) -> list[forwarding.Action]:
+        """Drop a request whose caller has left."""
+        exchange = self._exchanges.pop(number, None)
+        if exchange is None:
+            return []
+        self.counts["caller_gone"] += 1
+        actions: list[forwarding.Action] = []
+        for leg in exchange.legs:
+            for attempt in leg.open.values():
+                del self._sends[attempt.number]
+                attempt.backend.end(attempt.number)
+                actions.append(forwarding.Cancel(attempt.number))
+        actions.append(self._describe(now, exchange, "caller gone"))
+        return actions
+
+    def note_reply(
+        self, now: float, number: int, reply: forwarding.Reply
+    ) -> list[forwarding.Action]:
+        """Take the whole reply to a send."""
+        found = self._sends.pop(number, None)
+        if found is None:
+            self._end_lingering(now, number, reply.is_success)
+            return []
+        exchange, leg = found
+        attempt = leg.open.pop(number)
+        attempt.backend.end(number)
+        latency_s = now - attempt.started
+        leg.trace.append(f"{attempt.backend.entry.identity} {reply.status}")
+        actions: list[forwarding.Action] = []
+        if reply.is_success:
+            self._note_latency(now, exchange.route.name, attempt.backend, latency_s)
+            leg.reply = reply
+            exchange.arrived += 1
+            self._linger(now, leg, exchange.route.name)
+        else:
+            leg.failure = reply
+            attempt.backend.note_error(now)
+            if not leg.open:
+                self._advance(now, exchange, leg, actions)
+        self._settle(now, exchange, actions)
+        self._schedule(now, exchange)
+        return actions
+
+    def note_failure(
+        self, now: float, number: int, failure: forwarding.SendFailure
+    ) -> list[forwarding.Action]:
+        """Take the failure of a send."""
+        found = self._sends.pop(number, None)
+        if found is None:
+            self._end_lingering(now, number, None)
+            return []
+        exchange, leg = found
+        attempt = leg.open.pop(number)
+        backend = attempt.backend
+        backend.end(number)
+        leg.trace.append(f"{backend.entry.identity} {failure.kind.value}")
+        self.counts[f"failed_{failure.kind.value}"] += 1
+        if failure.kind in forwarding.NOT_RUN_KINDS:
+            leg.runs -= 1
+        if failure.kind is forwarding.FailureKind.NOT_SENT:
+            backend.note_unreachable(now)
+            if leg.runs == 0 and len(leg.tried) == 1:
+                leg.reached = False
+        elif failure.kind is forwarding.FailureKind.SHED:
+            backend.shed_until = now + backends.SHED_S
+            leg.tried.discard(backend.entry.identity)
+        elif failure.kind is forwarding.FailureKind.WRONG_SERVER:
+            backend.replaced = True
+        else:
+            backend.note_error(now)
+        actions: list[forwarding.Action] = []
+        if not leg.open:
+            self._advance(now, exchange, leg, actions)
+        self._settle(now, exchange, actions)
+        self._schedule(now, exchange)
+        return actions
+
+    def note_time(self, now: float) -> list[forwarding.Action]:
+        """Do what is due at this time."""
+        actions: list[forwarding.Action] = []
+        while self._timers and self._timers[0][0] <= now:
+            _, number = heapq.heappop(self._timers)
+            exchange = self._exchanges.get(number)
+            if exchange is None:
+                continue
+            exchange.scheduled_at = math.inf
+            for leg in exchange.legs:
+                if not leg.is_settled:
+                    self._advance_due(now, exchange, leg, actions)
+            self._settle(now, exchange, actions)
+            self._schedule(now, exchange)
+        for number, (backend, until, _, _) in list(self._lingering.items()):
+            if until <= now:
+                del self._lingering[number]
+                backend.end(number)
+                actions.append(forwarding.Cancel(number))
+        return actions
+
+    def next_time(self) -> float:
+        """Return when `note_time` is due; infinity if it is not."""
+        linger = min(
+            (until for _, until, _, _ in self._lingering.values()), default=math.inf
+        )
+        return min(self._timers[0][0] if self._timers else math.inf, linger)
+
+    def stop(self, now: float) -> list[forwarding.Action]:
+        """Answer all requests that are still open, since the process ends."""
+        actions: list[forwarding.Action] = []
+        for exchange in list(self._exchanges.values()):
+            self._give_up(now, exchange, errors.ErrorKind.SHUTTING_DOWN, actions)
+        return actions
+
+    # Sends.
+
+    def _choose_services(self, target: deployment.Target) -> tuple[str, ...]:
+        if isinstance(target, deployment.SingleTarget):
+            return (target.service,)
+        if isinstance(target, deployment.SplitTarget):
+            names = [name for name, _ in target.shares]
+            weights = [weight for _, weight in target.shares]
+            return (self._random.choices(names, weights)[0],)
+        return target.services
+
+    def _find_resends(self, service: str) -> resends.ResendBudget:
+        budget = self._resends.get(service)
+        if budget is None:
+            budget = resends.ResendBudget(*self._budgets)
+            self._resends[service] = budget
+        return budget
+
+    def _connection_share(self, service: str) -> int:
+        """Return the connections to one server that this process may hold."""
+        assert self.deployment is not None
+        known = self.deployment.services.get(service)
+        if known is None:
+            return 1
+        return max(1, known.connections_max // self._instances)
+
+    def _accepts(
+        self, now: float, service: str
+    ) -> typing.Callable[[backends.Backend], bool]:
+        share = self._connection_share(service)
+        assert self.deployment is not None
+        known = self.deployment.services.get(service)
+        cold_rate = known.cold_requests_per_s if known else 0.0
+        gap_s = self._instances / cold_rate if cold_rate > 0 else 0.0
+
+        def accept(backend: backends.Backend) -> bool:
+            if backend.in_flight >= share:
+                return False
+            if gap_s and now < backend.cold_until and backend.cold_sends:
+                return now - backend.cold_sends[-1] >= gap_s
+            return True
+
+        return accept
+
+    def _advance_due(
+        self,
+        now: float,
+        exchange: exchanges.Exchange,
+        leg: exchanges.Leg,
+        actions: list[forwarding.Action],
+    ) -> None:
+        if leg.open:
+            if now >= leg.hedge_at:
+                leg.hedge_at = math.inf
+                self._hedge(now, exchange, leg, actions)
+        elif now >= leg.retry_at:
+            self._advance(now, exchange, leg, actions)
+
+    def _hedge(
+        self,
+        now: float,
+        exchange: exchanges.Exchange,
+        leg: exchanges.Leg,
+        actions: list[forwarding.Action],
+    ) -> None:
+        if leg.runs >= exchange.route.attempts_max or now >= exchange.deadline:
+            return
+        backend = self.backends.choose(
+            now, leg.service, leg.tried, self._accepts(now, leg.service)
+        )
+        if backend is None:
+            leg.hedge_at = now + WAIT_STEP_S
+            return
+        if not self._find_resends(leg.service).take(now, self._instances):
+            self.counts["hedges_without_budget"] += 1
+            return
+        exchange.hedges += 1
+        self.counts["hedges"] += 1
+        self._send(now, exchange, leg, backend, True, actions)
+
+    def _advance(
+        self,
+        now: float,
+        exchange: exchanges.Exchange,
+        leg: exchanges.Leg,
+        actions: list[forwarding.Action],
+    ) -> None:
+        """Send a leg that has no open send, or find that it is lost."""
+        leg.retry_at = math.inf
+        spent = leg.runs >= exchange.route.attempts_max
+        if spent or (leg.runs and not exchange.may_repeat):
+            self._lose(exchange, leg)
+            return
+        backend = self.backends.choose(
+            now, leg.service, leg.tried, self._accepts(now, leg.service)
+        )
+        if backend is None:
+            if self._can_wait(now, exchange, leg):
+                leg.retry_at = now + WAIT_STEP_S
+            else:
+                self._lose(exchange, leg)
+            return
+        if leg.reached:
+            if not self._find_resends(leg.service).take(now, self._instances):
+                self.counts["retries_without_budget"] += 1
+                self._lose(exchange, leg)
+                return
+            exchange.retries += 1
+            self.counts["retries"] += 1
+        self._send(now, exchange, leg, backend, False, actions)
+
+    def _can_wait(
+        self, now: float, exchange: exchanges.Exchange, leg: exchanges.Leg
+    ) -> bool:
+        """Return whether a server may become usable soon enough."""
+        until = exchange.started + HOLD_OBJECTIVES * exchange.route.objective_s
+        if leg.reached:
+            until = exchange.started + exchange.route.objective_s
+        until = min(until, exchange.deadline)
+        known = self.backends.list_service(leg.service)
+        return any(
+            not one.entry.draining
+            and not one.replaced
+            and max(now + WAIT_STEP_S, one.retry_at, one.shed_until) < until
+            and one.entry.identity not in leg.tried
+            for one in known
+        )
+
+    def _send(
+        self,
+        now: float,
+        exchange: exchanges.Exchange,
+        leg: exchanges.Leg,
+        backend: backends.Backend,
+        hedge: bool,
+        actions: list[forwarding.Action],
+    ) -> None:
+        self._numbers += 1
+        number = self._numbers
+        delay_s = self._hedge_delay(exchange.route)
+        backend.begin(number, now + delay_s)
+        if now < backend.cold_until:
+            backend.cold_sends.append(now)
+            while len(backend.cold_sends) > 1:
+                backend.cold_sends.popleft()
+        leg.open[number] = exchanges.Attempt(number, backend, now, hedge)
+        leg.tried.add(backend.entry.identity)
+        leg.runs += 1
+        leg.reached = True
+        if exchange.may_repeat and leg.runs < exchange.route.attempts_max:
+            leg.hedge_at = now + delay_s
+        self._sends[number] = (exchange, leg)
+        actions.append(
+            forwarding.Send(
+                number,
+                backend.entry.address,
+                backend.entry.identity,
+                exchange.request,
+                exchange.deadline - now,
+                not exchange.may_repeat,
+                self._connection_share(leg.service),
+            )
+        )
+
+    def _hedge_delay(self, route: deployment.Route) -> float:
+        longest_s = HEDGE_OBJECTIVES * route.objective_s
+        window = self._latencies.get(route.name)
+        median = window.median() if window is not None else None
+        if median is None:
+            return longest_s
+        return min(longest_s, HEDGE_MEDIANS * median)
+
+    def _note_latency(
+        self, now: float, route: str, backend: backends.Backend, latency_s: float
+    ) -> None:
+        window = self._latencies.get(route)
+        if window is None:
+            window = self._latencies[route] = latencies.LatencyWindow()
+        median = window.median()
+        backend.note_success(now, latency_s / median if median else 1.0)
+        window.add(latency_s)
+
+    def _linger(self, now: float, leg: exchanges.Leg, route: str) -> None:
+        for attempt in leg.open.values():
+            del self._sends[attempt.number]
+            self._lingering[attempt.number] = (
+                attempt.backend,
+                now + LINGER_S,
+                attempt.started,
+                route,
+            )
+        leg.open.clear()
+
+    def _end_lingering(self, now: float, number: int, success: bool | None) -> None:
+        found = self._lingering.pop(number, None)
+        if found is None:
+            return
+        backend, _, started, route = found
+        backend.end(number)
+        if success:
+            window = self._latencies.get(route)
+            median = window.median() if window is not None else None
+            if median:
+                backend.note_success(now, (now - started) / median)
+        else:
+            backend.note_error(now)
+
+    def _lose(self, exchange: exchanges.Exchange, leg: exchanges.Leg) -> None:
+        leg.lost = True
+        exchange.lost += 1
+
+    # Answers.
+
+    def _settle(
+        self,
+        now: float,
+        exchange: exchanges.Exchange,
+        actions: list[forwarding.Action],
+    ) -> None:
+        """Answer the request if that is due."""
+        if exchange.answered:
+            return
+        target = exchange.route.target
+        if not isinstance(target, deployment.ShardTarget):
+            self._settle_single(now, exchange, actions)
+            return
+        verdict = completion.decide(now, exchange.progress(target))
+        if verdict is completion.Verdict.ANSWER:
+            replies = [leg.reply for leg in exchange.legs if leg.reply is not None]
+            answer = forwarding.Merged(
+                tuple(reply.signature for reply in replies),
+                len(exchange.legs) - len(replies),
+                merging.merge_records(
+                    (reply.body for reply in replies), target.records_max
+                ),
+            )
+            self._answer(now, exchange, answer, actions)
+        elif verdict is completion.Verdict.GIVE_UP:
+            self._give_up(now, exchange, errors.ErrorKind.COVERAGE_BELOW_FLOOR, actions)
+
+    def _settle_single(
+        self,
+        now: float,
+        exchange: exchanges.Exchange,
+        actions: list[forwarding.Action],
+    ) -> None:
+        leg = exchange.legs[0]
+        if leg.reply is not None:
+            self._answer(now, exchange, forwarding.Passed(leg.reply), actions)
+        elif leg.lost and leg.failure is not None:
+            self._answer(now, exchange, forwarding.Passed(leg.failure), actions)
+        elif leg.lost:
+            self._give_up(now, exchange, errors.ErrorKind.BACKEND_FAILED, actions)
+        elif now >= exchange.deadline:
+            self._give_up(now, exchange, errors.ErrorKind.DEADLINE_EXCEEDED, actions)
+
+    def _give_up(
+        self,
+        now: float,
+        exchange: exchanges.Exchange,
+        kind: errors.ErrorKind,
+        actions: list[forwarding.Action],
+    ) -> None:
+        """Answer with an error that is true about what has run."""
+        if not exchange.may_have_run:
+            retry_after_s = RETRY_AFTER_S * (1 + self._random.random())
+            if errors.ANSWERS[kind].run_state is not errors.RunState.NOT_RUN:
+                kind = errors.ErrorKind.NOT_RUN
+            answer = forwarding.Refused(kind, retry_after_s)
+        elif errors.ANSWERS[kind].run_state is errors.RunState.NOT_RUN:
+            answer = forwarding.Refused(errors.ErrorKind.OUTCOME_UNKNOWN)
+        else:
+            answer = forwarding.Refused(kind)
+        self._answer(now, exchange, answer, actions)
+
+    def _answer(
+        self,
+        now: float,
+        exchange: exchanges.Exchange,
+        answer: forwarding.Answer,
+        actions: list[forwarding.Action],
+    ) -> None:
+        exchange.answered = True
+        self._exchanges.pop(exchange.number, None)
+        refused = isinstance(answer, forwarding.Refused)
+        for leg in exchange.legs:
+            if not refused:
+                self._linger(now, leg, exchange.route.name)
+                continue
+            for attempt in leg.open.values():
+                del self._sends[attempt.number]
+                attempt.backend.end(attempt.number)
+                actions.append(forwarding.Cancel(attempt.number))
+            leg.open.clear()
+        actions.append(forwarding.Respond(exchange.number, answer))
+        outcome = answer.kind.value if refused else "answered"
+        self.counts[outcome] += 1
+        actions.append(self._describe(now, exchange, outcome))
+
+    def _refuse_new(
+        self, number: int, request: forwarding.Request, kind: errors.ErrorKind
+    ) -> list[forwarding.Action]:
+        self.counts[kind.value] += 1
+        retryable = errors.ANSWERS[kind].retryable
+        retry_after_s = (
+            RETRY_AFTER_S * (1 + self._random.random()) if retryable else 0.0
+        )
+        version = self.deployment.version if self.deployment else 0
+        return [
+            forwarding.Respond(number, forwarding.Refused(kind, retry_after_s)),
+            forwarding.Note(
+                "request:",
+                "refused",
+                {
+                    "id": request.identity,
+                    "error": kind.value,
+                    "host": request.host,
+                    "path": request.path,
+                    "version": version,
+                },
+            ),
+        ]
+
+    def _describe(
+        self, now: float, exchange: exchanges.Exchange, outcome: str
+    ) -> forwarding.Note:
+        """Return the log line of a request that has ended."""
+        unusual = [
+            f"{leg.service}: {', '.join(leg.trace) or 'no reply'}"
+            for leg in exchange.legs
+            if leg.reply is None or len(leg.trace) > 1
+        ]
+        return forwarding.Note(
+            "request:",
+            "ended",
+            {
+                "id": exchange.request.identity,
+                "outcome": outcome,
+                "route": exchange.route.name,
+                "version": exchange.version,
+                "ms": round(1000 * (now - exchange.started), 1),
+                "arrived": exchange.arrived,
+                "shards": len(exchange.legs),
+                "hedges": exchange.hedges,
+                "retries": exchange.retries,
+                "instances": self._instances,
+                "unusual": unusual,
+            },
+        )
+
+    def _schedule(self, now: float, exchange: exchanges.Exchange) -> None:
+        if exchange.answered:
+            return
+        at = exchange.next_time(now)
+        if at < exchange.scheduled_at:
+            exchange.scheduled_at = at
+            heapq.heappush(self._timers, (at, exchange.number))
--- /dev/null
+++ b/acacialatch/forwarding.py
@@ -0,0 +1,177 @@
+"""Data of forwarded requests: what callers send, what backend servers reply."""
+
+import enum
+import typing
+
+from acacialatch import errors
+
+Fields = tuple[tuple[bytes, bytes], ...]
+"""Header fields in their order, names in lower case."""
+
+
+class Request(typing.NamedTuple):
+    """A whole request of a caller.
+
+    Attributes
+    ----------
+    identity : str
+        Identifier that the caller gave to this attempt.
+    host, target, path : str
+        Host, request target as received, and its path without the query.
+    method : str
+        HTTP method.
+    fields : tuple
+        Header fields to pass on.
+    body : bytes
+        Request body.
+    patience_s : float or None
+        How long the caller waits for the answer, if it says so.
+    """
+
+    identity: str
+    host: str
+    method: str
+    target: str
+    path: str
+    fields: Fields
+    body: bytes
+    patience_s: float | None
+
+
+class Reply(typing.NamedTuple):
+    """A whole reply of a backend server.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    signature : str
+        Signature of the server under this reply, empty if there is none.
+    fields : tuple
+        Header fields to pass on.
+    body : bytes
+        Whole body.
+    """
+
+    status: int
+    signature: str
+    fields: Fields
+    body: bytes
+
+    @property
+    def is_success(self) -> bool:
+        """Return whether the server did what was asked."""
+        return 200 <= self.status < 300
+
+
+class FailureKind(enum.Enum):
+    """Why a send has no reply that counts.
+
+    NOT_SENT: no byte left this process. SHED: the server refused before running.
+    WRONG_SERVER: another server has the address, and refused. CUT: the connection
+    ended or broke after the request was sent. GARBLED: the bytes are no reply to this
+    request. After the last two the request may have run.
+    """
+
+    NOT_SENT = "not_sent"
+    SHED = "shed"
+    WRONG_SERVER = "wrong_server"
+    CUT = "cut"
+    GARBLED = "garbled"
+
+
+NOT_RUN_KINDS = frozenset(
+    {FailureKind.NOT_SENT, FailureKind.SHED, FailureKind.WRONG_SERVER}
+)
+
+
+class SendFailure(typing.NamedTuple):
+    """A failure kind with the detail of one occurrence."""
+
+    kind: FailureKind
+    detail: str = ""
+
+
+class Send(typing.NamedTuple):
+    """Send a request to a backend server.
+
+    Attributes
+    ----------
+    number : int
+        Identifies the send in this process.
+    address, identity : str
+        Address and identity of the server.
+    request : Request
+        What to send.
+    patience_s : float
+        How long this process waits for the reply.
+    needs_fresh : bool
+        Whether the connection must be known to work, since the request must not run
+        twice.
+    connections_max : int
+        Most connections that this process may hold to the server.
+    """
+
+    number: int
+    address: str
+    identity: str
+    request: Request
+    patience_s: float
+    needs_fresh: bool
+    connections_max: int
+
+
+class Cancel(typing.NamedTuple):
+    """Give up a send; its connection is closed unless the reply is in already."""
+
+    number: int
+
+
+class Passed(typing.NamedTuple):
+    """Answer with the reply of one backend server, unchanged."""
+
+    reply: Reply
+
+
+class Merged(typing.NamedTuple):
+    """Answer with the merged records of several shards."""
+
+    signatures: tuple[str, ...]
+    missing: int
+    body: bytes
+
+
+class Refused(typing.NamedTuple):
+    """Answer with an error of this system.
+
+    Attributes
+    ----------
+    kind : errors.ErrorKind
+        Error.
+    retry_after_s : float
+        When the caller may try again; 0 to say nothing.
+    """
+
+    kind: errors.ErrorKind
+    retry_after_s: float = 0.0
+
+
+Answer = Passed | Merged | Refused
+
+
+class Respond(typing.NamedTuple):
+    """Give the answer to a caller."""
+
+    exchange: int
+    answer: Answer
+
+
+class Note(typing.NamedTuple):
+    """Log line about a decision."""
+
+    part: str
+    text: str
+    values: dict[str, typing.Any]
+
+
+Action = Send | Cancel | Respond | Note
--- /dev/null
+++ b/acacialatch/gossip.py
@@ -0,0 +1,83 @@
+"""Digests between entry instances, as UDP datagrams."""
+
+import contextlib
+import typing
+
+import msgspec
+import trio
+
+from acacialatch import logs, members
+
+DATAGRAM_BYTES_MAX = 60_000
+_RECEIVE_BYTES = 65_536
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(list[members.Member])
+
+
+class Gossip:
+    """Sends and receives the digests of one entry instance.
+
+    Parameters
+    ----------
+    table : members.MemberTable
+        What is known of the entry instances.
+    on_change : callable
+        Called after a digest was taken.
+    """
+
+    def __init__(
+        self, table: members.MemberTable, on_change: typing.Callable[[], None]
+    ):
+        self._table = table
+        self._on_change = on_change
+        self._socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+        self.malformed = 0
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Exchange digests until cancelled.
+
+        Raises
+        ------
+        OSError
+            The address cannot be used.
+        """
+        await self._socket.bind(_split(self._table.own.gossip_address))
+        task_status.started()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._receive)
+            while True:
+                now = trio.current_time()
+                await self.spread(self._table.choose_targets(now))
+                await trio.sleep(members.PERIOD_S)
+
+    async def spread(self, targets: typing.Iterable[str]) -> None:
+        """Send a digest now."""
+        data = _ENCODER.encode(self._table.make_digest(trio.current_time()))
+        if len(data) > DATAGRAM_BYTES_MAX:
+            logs.write(logs.Part.MEMBERSHIP, "digest is too large", bytes=len(data))
+            return
+        for address in targets:
+            # A datagram that is lost is replaced by the next period's.
+            with contextlib.suppress(OSError):
+                await self._socket.sendto(data, _split(address))
+
+    async def _receive(self) -> None:
+        while True:
+            try:
+                data, _ = await self._socket.recvfrom(_RECEIVE_BYTES)
+                digest = _DECODER.decode(data)
+            except OSError:
+                # An earlier datagram came to a closed port.
+                continue
+            except msgspec.DecodeError:
+                self.malformed += 1
+                continue
+            self._table.take_digest(trio.current_time(), digest)
+            self._on_change()
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/acacialatch/httpserver.py
+++ b/acacialatch/httpserver.py
@@ -6,14 +6,8 @@
 import h11
 import trio
 
-KEEP_ALIVE_S = 5.0
-"""Idle time in seconds after which callers must not reuse a connection."""
-
 KEEP_ALIVE_MARGIN_S = 2.0
-"""Extra idle time granted before the server closes an idle connection."""
-
-REQUEST_TIMEOUT_S = 10.0
-"""Longest time in seconds to receive one request after its first byte."""
+"""Idle time granted beyond what callers are told, before a connection is closed."""
 
 SEND_TIMEOUT_S = 10.0
 LINGER_S = 1.0
@@ -23,8 +17,6 @@
 before the caller has read it.
 """
 
-HEADER_BYTES_MAX = 16_384
-BODY_BYTES_MAX = 262_144
 _RECEIVE_BYTES = 65536
 
 
@@ -41,6 +33,10 @@
         Request body.
     peer : str
         IP address of the caller.
+    target : str
+        Request target as received.
+    fields : tuple of (bytes, bytes)
+        All header fields in their order, names in lower case.
     """
 
     method: str
@@ -49,18 +45,56 @@
     headers: dict[str, str]
     body: bytes
     peer: str
+    target: str = ""
+    fields: tuple[tuple[bytes, bytes], ...] = ()
 
 
 class Response(typing.NamedTuple):
-    """An answer to a caller, with a JSON body."""
+    """An answer to a caller.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    body : bytes
+        Body.
+    headers : tuple
+        Further header fields.
+    content_type : str
+        Type of the body; empty if `headers` has it or there is none.
+    """
 
     status: int
     body: bytes
-    headers: tuple[tuple[str, str], ...] = ()
+    headers: tuple[tuple[str | bytes, str | bytes], ...] = ()
+    content_type: str = "application/json"
+
+
+class Limits(typing.NamedTuple):
+    """Bounds on what callers send.
+
+    Attributes
+    ----------
+    header_bytes_max, body_bytes_max : int
+        Largest head and body of a request.
+    request_timeout_s : float
+        Longest time to receive one request after its first byte.
+    idle_timeout_s : float
+        Idle time after which a connection is closed.
+    """
+
+    header_bytes_max: int = 16_384
+    body_bytes_max: int = 262_144
+    request_timeout_s: float = 10.0
+    idle_timeout_s: float = 7.0
 
 
 class _BodyTooLargeError(Exception):
-    """The request body is over `BODY_BYTES_MAX`."""
+    """The request body is over the limit."""
+
+
+class _RequestTimeoutError(Exception):
+    """The rest of a request did not arrive in time."""
 
 
 Handler = typing.Callable[[Request], typing.Awaitable[Response]]
@@ -76,10 +110,12 @@
         Async function from `Request` to `Response`. It is cancelled when the
         caller closes the connection.
     refuse : callable
-        Function from `"malformed_request"`, `"body_too_large"` or `"internal"`
-        to the `Response` for it.
+        Function from `"malformed_request"`, `"body_too_large"`, `"request_timeout"`
+        or `"internal"` to the `Response` for it.
     on_error : callable
         Called with the exception when the handler raises.
+    read_limits : callable
+        Returns the bounds in force.
     """
 
     def __init__(
@@ -87,12 +123,15 @@
         handler: Handler,
         refuse: Refusal,
         on_error: typing.Callable[[Exception], None] = lambda error: None,
+        read_limits: typing.Callable[[], Limits] = Limits,
     ):
         self._handler = handler
         self._refuse = refuse
         self._on_error = on_error
+        self._read_limits = read_limits
         self._closing = False
         self.connections = 0
+        self.busy = 0
 
     def announce_close(self) -> None:
         """Add `connection: close` to every response from now on."""
@@ -129,6 +168,10 @@
         """Return the response for a request that cannot be handled."""
         return self._refuse(kind)
 
+    def read_limits(self) -> Limits:
+        """Return the bounds in force."""
+        return self._read_limits()
+
     def is_closing(self) -> bool:
         """Return whether responses must close their connection."""
         return self._closing
@@ -140,7 +183,9 @@
     def __init__(self, server: Server, stream: trio.SocketStream):
         self._server = server
         self._stream = stream
-        self._http = h11.Connection(h11.SERVER, HEADER_BYTES_MAX)
+        self._limits = server.read_limits()
+        self._http = h11.Connection(h11.SERVER, self._limits.header_bytes_max)
+        self._method = ""
         self._caller_gone = False
         self._peer = str(stream.socket.getpeername()[0])
 
@@ -154,13 +199,21 @@
             except _BodyTooLargeError:
                 await self._send_last(self._server.refuse("body_too_large"))
                 return
-            if request is None:
+            except _RequestTimeoutError:
+                await self._send_last(self._server.refuse("request_timeout"))
                 return
-            response = await self._handle(request)
-            if response is None:
+            if request is None:
                 return
-            must_close = self._server.is_closing()
-            await self._send(response, must_close)
+            self._method = request.method
+            self._server.busy += 1
+            try:
+                response = await self._handle(request)
+                if response is None:
+                    return
+                must_close = self._server.is_closing()
+                await self._send(response, must_close)
+            finally:
+                self._server.busy -= 1
             if must_close or self._http.our_state is not h11.DONE:
                 return
             if self._http.their_state is not h11.DONE:
@@ -170,7 +223,9 @@
     async def _read_request(self) -> Request | None:
         head: h11.Request | None = None
         body = bytearray()
-        timeout_s = KEEP_ALIVE_S + KEEP_ALIVE_MARGIN_S
+        self._limits = self._server.read_limits()
+        timeout_s = self._limits.idle_timeout_s
+        started = False
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
@@ -178,15 +233,18 @@
                     await self._send_continue()
                 data = await self._receive(timeout_s)
                 if data is None:
+                    if started:
+                        raise _RequestTimeoutError
                     return None
                 # A slow request is bounded from its first byte.
-                timeout_s = REQUEST_TIMEOUT_S
+                timeout_s = self._limits.request_timeout_s
+                started = True
                 self._http.receive_data(data)
             elif isinstance(event, h11.Request):
                 head = event
             elif isinstance(event, h11.Data):
                 body += event.data
-                if len(body) > BODY_BYTES_MAX:
+                if len(body) > self._limits.body_bytes_max:
                     raise _BodyTooLargeError
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 return _make_request(head, bytes(body), self._peer)
@@ -213,7 +271,7 @@
     async def _watch_caller(self, scope: trio.CancelScope) -> None:
         """Cancel the handler when the caller closes the connection."""
         buffered = 0
-        while buffered <= BODY_BYTES_MAX:
+        while buffered <= self._limits.body_bytes_max:
             try:
                 data = await self._stream.receive_some(_RECEIVE_BYTES)
             except (OSError, trio.BrokenResourceError):
@@ -235,20 +293,23 @@
                 pass
 
     async def _send(self, response: Response, must_close: bool) -> None:
-        headers = [
-            ("content-type", "application/json"),
+        headers: list[tuple[str | bytes, str | bytes]] = [
             ("content-length", str(len(response.body))),
             *response.headers,
         ]
+        if response.content_type:
+            headers.append(("content-type", response.content_type))
         if must_close:
             headers.append(("connection", "close"))
         else:
-            headers.append(("keep-alive", f"timeout={int(KEEP_ALIVE_S)}"))
+            idle_s = self._limits.idle_timeout_s - KEEP_ALIVE_MARGIN_S
+            headers.append(("keep-alive", f"timeout={max(1, int(idle_s))}"))
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         head = h11.Response(status_code=response.status, headers=headers)
         data = self._http.send(head)
-        data += self._http.send(h11.Data(data=response.body))
+        if self._method != "HEAD":
+            data += self._http.send(h11.Data(data=response.body))
         data += self._http.send(h11.EndOfMessage()) or b""
         with trio.move_on_after(SEND_TIMEOUT_S):
             await self._stream.send_all(data)
@@ -260,7 +321,16 @@
     headers = {
         name.decode("ascii"): value.decode("latin-1") for name, value in head.headers
     }
-    return Request(head.method.decode("ascii"), path, query, headers, body, peer)
+    return Request(
+        head.method.decode("ascii"),
+        path,
+        query,
+        headers,
+        body,
+        peer,
+        target,
+        tuple((name, value) for name, value in head.headers),
+    )
 
 
 async def listen(address: str) -> trio.SocketListener:
--- a/acacialatch/latencies.py
+++ b/acacialatch/latencies.py
@@ -39,6 +39,11 @@
             oldest = self._recent.popleft()
             del self._sorted[bisect.bisect_left(self._sorted, oldest)]
 
+    def median(self) -> float | None:
+        """Return the median, or None with too few values."""
+        count = len(self._sorted)
+        return self._sorted[count // 2] if count >= WINDOW_MIN else None
+
     def percentile(self) -> float | None:
         """Return the bounded percentile, or None with too few values."""
         count = len(self._sorted)
--- /dev/null
+++ b/acacialatch/members.py
@@ -0,0 +1,135 @@
+"""Which entry instances run, as they tell each other by periodic digests."""
+
+import random
+import typing
+
+PERIOD_S = 0.5
+"""Period of digests in seconds."""
+
+TARGETS = 3
+"""Entry instances that get each digest, beside the seeds that are not known yet."""
+
+SILENT_S = 3.0
+"""An entry instance whose counter has not grown for this long is not named."""
+
+FORGET_S = 30.0
+"""Time in seconds after which a silent entry instance no longer counts."""
+
+SHARE_S = 12.0
+"""A silent entry instance counts for this long in shares of limits and budgets."""
+
+
+class Member(typing.NamedTuple):
+    """What an entry instance says of itself.
+
+    Attributes
+    ----------
+    name : str
+        Name from its settings.
+    incarnation : int
+        Number of this run of its process; a later run has a greater one.
+    beat : int
+        Counter that grows with each digest of its own.
+    caller_address, gossip_address : str
+        Addresses for callers and for digests.
+    zone : str
+        Its availability zone.
+    ready : bool
+        Whether callers may be sent to it.
+    """
+
+    name: str
+    incarnation: int
+    beat: int
+    caller_address: str
+    gossip_address: str
+    zone: str
+    ready: bool
+
+
+class MemberTable:
+    """Entry instances that one of them knows.
+
+    Parameters
+    ----------
+    own : Member
+        This entry instance.
+    seeds : tuple of str
+        Addresses for digests that are known from the settings.
+    seed : int
+        Seed of random choices.
+    """
+
+    def __init__(self, own: Member, seeds: tuple[str, ...], seed: int):
+        self.own = own
+        self.set_seeds(seeds)
+        self._members: dict[str, Member] = {}
+        self._heard_at: dict[str, float] = {}
+        self._random = random.Random(seed)
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Change the addresses that are known from the settings."""
+        self._seeds = tuple(one for one in seeds if one != self.own.gossip_address)
+
+    def set_ready(self, ready: bool) -> bool:
+        """Say whether callers may be sent here; return whether that is a change."""
+        changed = self.own.ready != ready
+        if changed:
+            self.own = self.own._replace(ready=ready, beat=self.own.beat + 1)
+        return changed
+
+    def make_digest(self, now: float) -> list[Member]:
+        """Return the next digest: this entry instance and those heard from lately."""
+        self.own = self.own._replace(beat=self.own.beat + 1)
+        return [self.own, *self._list_heard(now, SILENT_S)]
+
+    def take_digest(self, now: float, members: typing.Iterable[Member]) -> None:
+        """Take a digest of another entry instance."""
+        for member in members:
+            if member.name == self.own.name:
+                if member.incarnation > self.own.incarnation:
+                    # The clock went back between two runs of this process.
+                    self.own = self.own._replace(incarnation=member.incarnation + 1)
+                continue
+            known = self._members.get(member.name)
+            newer = known is None or (
+                (member.incarnation, member.beat) > (known.incarnation, known.beat)
+            )
+            if newer:
+                self._members[member.name] = member
+                self._heard_at[member.name] = now
+
+    def choose_targets(self, now: float) -> list[str]:
+        """Return the addresses that get the next digest."""
+        self._forget(now)
+        known = [one.gossip_address for one in self._members.values()]
+        targets = self._random.sample(known, min(TARGETS, len(known)))
+        targets += [one for one in self._seeds if one not in known]
+        return targets
+
+    def list_all_targets(self) -> list[str]:
+        """Return all known addresses, for a change that cannot wait."""
+        return [one.gossip_address for one in self._members.values()]
+
+    def list_ready(self, now: float) -> list[Member]:
+        """Return the entry instances to which callers may be sent."""
+        members = [self.own, *self._list_heard(now, SILENT_S)]
+        return [one for one in members if one.ready]
+
+    def count_sharing(self, now: float) -> int:
+        """Return how many entry instances share limits and budgets."""
+        return 1 + max(len(self._list_heard(now, SHARE_S)), len(self._seeds))
+
+    def _list_heard(self, now: float, within_s: float) -> list[Member]:
+        return [
+            member
+            for name, member in self._members.items()
+            if now - self._heard_at[name] < within_s
+        ]
+
+    def _forget(self, now: float) -> None:
+        for name in [
+            name for name, at in self._heard_at.items() if now - at >= FORGET_S
+        ]:
+            del self._members[name]
+            del self._heard_at[name]
--- a/acacialatch/sources.py
+++ b/acacialatch/sources.py
@@ -8,7 +8,7 @@
 import result
 import trio
 
-from acacialatch import errors, messages, model
+from acacialatch import errors, messages, model, sockets
 
 # The platform answers in milliseconds, and an instance that hears nothing for 3 s is
 # isolated. A failed read must leave time for another within that period.
@@ -75,7 +75,7 @@
     ) -> _SourceResult[messages.ConfigurationText | None]:
         """Read the configuration text; see `ConfigurationSource`."""
         wait_s = min(max(wait_s, 0.0), WAIT_MAX_S)
-        answer = await _get(
+        answer = await fetch(
             self._address,
             f"{self._path}?after={max(0, after)}&wait_s={wait_s:.3f}",
             messages.TEXT_MAX_BYTES,
@@ -101,7 +101,9 @@
 
     async def list(self) -> _SourceResult[tuple[model.ListedInstance, ...]]:
         """Return all listed instances; see `InstanceSource`."""
-        answer = await _get(self._address, self._path, LIST_MAX_BYTES, ANSWER_TIMEOUT_S)
+        answer = await fetch(
+            self._address, self._path, LIST_MAX_BYTES, ANSWER_TIMEOUT_S
+        )
         return answer.and_then(_decode_instances)
 
 
@@ -116,7 +118,19 @@
     state: model.InstanceState
 
 
-class _Answer(typing.NamedTuple):
+class Answer(typing.NamedTuple):
+    """Answer to a read.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    revision : str
+        Value of `x-revision`, empty if there is none.
+    body : bytes
+        Body of a 200 answer; empty for other statuses.
+    """
+
     status: int
     revision: str
     body: bytes
@@ -131,7 +145,7 @@
 
 
 def _decode_configuration(
-    answer: _Answer,
+    answer: Answer,
 ) -> _SourceResult[messages.ConfigurationText | None]:
     if answer.status == 204:
         return result.Ok(None)
@@ -147,7 +161,7 @@
 
 
 def _decode_instances(
-    answer: _Answer,
+    answer: Answer,
 ) -> _SourceResult[tuple[model.ListedInstance, ...]]:
     if answer.status != 200:
         return _fail(errors.SourceErrorKind.STATUS, str(answer.status))
@@ -166,16 +180,28 @@
     return result.Err(errors.SourceFailure(kind, detail))
 
 
-async def _get(
+async def fetch(
     address: str, target: str, limit: int, timeout_s: float
-) -> _SourceResult[_Answer]:
-    """Make one request on a connection of its own.
+) -> _SourceResult[Answer]:
+    """Read one resource on a connection of its own.
 
     An open connection may stop delivering data without an error, so none is kept.
+
+    Parameters
+    ----------
+    address : str
+        IP address and port.
+    target : str
+        Path and query.
+    limit : int
+        Most bytes of the body.
+    timeout_s : float
+        Longest time for all of it, in seconds.
     """
     with trio.move_on_after(timeout_s):
         try:
             stream = await trio.open_tcp_stream(*model.split_address(address))
+            sockets.watch_silence(stream)
             async with stream:
                 return result.Ok(await _exchange(stream, address, target, limit))
         except _RefusalError as error:
@@ -189,7 +215,7 @@
 
 async def _exchange(
     stream: trio.SocketStream, address: str, target: str, limit: int
-) -> _Answer:
+) -> Answer:
     connection = h11.Connection(h11.CLIENT)
     headers = [("host", address), ("connection", "close")]
     request = h11.Request(method="GET", target=target, headers=headers)
@@ -208,7 +234,7 @@
         elif isinstance(event, h11.Response):
             status, revision = event.status_code, _find_revision(event.headers)
             if status != 200:
-                return _Answer(status, "", b"")
+                return Answer(status, "", b"")
             _check_framing(event)
         elif isinstance(event, h11.Data):
             body += event.data
@@ -216,7 +242,7 @@
                 detail = f"the body is above {limit} bytes"
                 raise _RefusalError(errors.SourceErrorKind.TOO_LARGE, detail)
         elif isinstance(event, h11.EndOfMessage):
-            return _Answer(status, revision, bytes(body))
+            return Answer(status, revision, bytes(body))
 
 
 def _check_framing(response: h11.Response) -> None:
--- /dev/null
+++ b/acacialatch/store.py
@@ -0,0 +1,115 @@
+"""Follows the platform's store."""
+
+import abc
+import random
+import typing
+
+import result
+import trio
+
+from acacialatch import errors, forwarding, logs, registry
+
+WATCH_S = 2.0
+"""Longest wait of one watch in seconds; a silent connection is found after it."""
+
+BATCH_S = 0.03
+"""Pause after a change in seconds, so that a series of changes takes few reads."""
+
+RETRY_FIRST_S = 0.1
+RETRY_MAX_S = 1.0
+"""Bounds in seconds of the delay after a failed read, drawn with full jitter."""
+
+
+class HistoryLost(typing.NamedTuple):
+    """The store no longer has the changes asked for."""
+
+
+ReadResult = result.Result[registry.Changes, errors.SourceFailure]
+WatchResult = result.Result[registry.Changes | HistoryLost, errors.SourceFailure]
+
+
+class Store(abc.ABC):
+    """Reads deployments and registrations; nothing is ever written."""
+
+    @abc.abstractmethod
+    async def read_all(self) -> ReadResult:
+        """Return everything, with a revision from which to watch."""
+
+    @abc.abstractmethod
+    async def watch(self, after: int, wait_s: float) -> WatchResult:
+        """Return the changes after a revision, as soon as there are any."""
+
+
+class Follower:
+    """Keeps a registry up to date with the store.
+
+    Parameters
+    ----------
+    store : Store
+        The platform's store.
+    target : registry.Registry
+        Takes what was read.
+    on_change : callable
+        Called with the notes of each read.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        target: registry.Registry,
+        on_change: typing.Callable[[list[forwarding.Note]], None],
+    ):
+        self._store = store
+        self._registry = target
+        self._on_change = on_change
+        self._reachable = False
+        self.reads = 0
+        self.failures = 0
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        synchronized = False
+        delay_s = RETRY_FIRST_S
+        while True:
+            self.reads += 1
+            if synchronized:
+                answer = await self._store.watch(self._registry.revision, WATCH_S)
+            else:
+                answer = await self._store.read_all()
+            if isinstance(answer, result.Err):
+                self._note_failure(answer.err_value)
+                await trio.sleep(random.uniform(0.3, 1.0) * delay_s)
+                delay_s = min(RETRY_MAX_S, 2 * delay_s)
+                continue
+            delay_s = RETRY_FIRST_S
+            self._note_success()
+            changes = answer.ok_value
+            if isinstance(changes, HistoryLost):
+                logs.write(logs.Part.CONFIG, "history of the store was dropped")
+                synchronized = False
+                continue
+            now = trio.current_time()
+            if synchronized:
+                notes = self._registry.take_changes(now, changes)
+            else:
+                notes = self._registry.take_all(now, changes)
+            synchronized = True
+            self._on_change(notes)
+            if changes.changes:
+                await trio.sleep(BATCH_S)
+
+    def _note_failure(self, failure: errors.SourceFailure) -> None:
+        self.failures += 1
+        if self._reachable or self.failures == 1:
+            values = {"error": failure.kind.value, "detail": failure.detail}
+            logs.write(logs.Part.CONFIG, "store is lost", **values)
+        self._reachable = False
+
+    def _note_success(self) -> None:
+        now = trio.current_time()
+        if not self._reachable:
+            heard_at = self._registry.heard_at
+            age_s = None if heard_at is None else round(now - heard_at, 3)
+            logs.write(logs.Part.CONFIG, "store is reachable", silent_s=age_s)
+        self._registry.note_heard(now, not self._reachable)
+        self._reachable = True
