--- a/acacialatch/backendclient.py
+++ b/acacialatch/backendclient.py
@@ -79,6 +79,7 @@
         self.head_done = False
         self.done = False
         self.surplus = False
+        self.allows_reuse = False
         self._http = httptools.HttpResponseParser(self)
 
     def feed(self, data: bytes) -> None:
@@ -91,10 +92,6 @@
         """
         self._http.feed_data(data)
 
-    def allows_reuse(self) -> bool:
-        """Return whether another request may follow on the connection."""
-        return self._http.should_keep_alive()
-
     def ends_with_connection(self) -> bool:
         """Return whether the body has neither a length nor chunks."""
         names = {name.lower() for name, _ in self.fields}
@@ -126,6 +123,8 @@
             self.fields.clear()
             self.head_done = False
             return
+        # The parser only knows this before the next message.
+        self.allows_reuse = self._http.should_keep_alive()
         self.done = True
 
 
@@ -331,7 +330,7 @@
                 return
         if parser.done:
             clean = clean and not parser.surplus and not connection.unsent
-            self._finish(connection, clean and parser.allows_reuse())
+            self._finish(connection, clean and parser.allows_reuse)
 
     def _finish(self, connection: _Connection, reusable: bool) -> None:
         send = connection.send
--- a/acacialatch/sockets.py
+++ b/acacialatch/sockets.py
@@ -9,7 +9,7 @@
 
 KEEP_ALIVE_PROBES = 2
 SILENCE_MS = 2500
-"""Time without acknowledgement after which a connection is given up, in milliseconds."""
+"""Time in milliseconds without acknowledgement that ends a connection."""
 
 
 def watch_silence(connection: socket.socket | trio.SocketStream) -> None:
