--- a/acacialatch/store.py
+++ b/acacialatch/store.py
@@ -9,10 +9,10 @@
 
 from acacialatch import errors, forwarding, logs, registry
 
-WATCH_S = 2.0
+WATCH_S = 5.0
 """Longest wait of one watch in seconds; a silent connection is found after it."""
 
-BATCH_S = 0.03
+BATCH_S = 0.1
 """Pause after a change in seconds, so that a series of changes takes few reads."""
 
 RETRY_FIRST_S = 0.1
