--- a/acacialatch/entrance.py
+++ b/acacialatch/entrance.py
@@ -33,6 +33,12 @@
 takes a moment to learn of the stop.
 """
 
+CLOSE_STEP_S = 0.02
+"""Period in seconds of the check whether the last connection has closed."""
+
+FLUSH_S = 0.1
+"""Time in seconds for the last answers to leave before the process ends."""
+
 RELOAD_PERIOD_S = 1.0
 """Period in seconds at which the settings file is looked at."""
 
@@ -374,12 +380,12 @@
             with trio.move_on_after(self._settings.stop_s):
                 await trio.sleep(LEAVE_S)
                 accepting.cancel()
-                while self._forwarder.open_count or self._callers.busy:
-                    await trio.sleep(0.02)
+                self._callers.close_idle()
+                while self._callers.connections:
+                    await trio.sleep(CLOSE_STEP_S)
                 return
             self._perform(self._forwarder.stop(trio.current_time()))
-            # Lets the last answers leave.
-            await trio.sleep(0.05)
+            await trio.sleep(FLUSH_S)
 
     async def _accept(
         self,
--- a/acacialatch/httpserver.py
+++ b/acacialatch/httpserver.py
@@ -130,13 +130,37 @@
         self._on_error = on_error
         self._read_limits = read_limits
         self._closing = False
+        self._closing_idle = False
+        self._idle: set[trio.CancelScope] = set()
         self.connections = 0
-        self.busy = 0
 
     def announce_close(self) -> None:
         """Add `connection: close` to every response from now on."""
         self._closing = True
 
+    def close_idle(self) -> None:
+        """Close connections that have no request, now and from now on.
+
+        A request that has begun to arrive is still read and answered.
+        """
+        self._closing_idle = True
+        for scope in self._idle:
+            scope.cancel()
+
+    async def receive_idle(
+        self, stream: trio.SocketStream, timeout_s: float
+    ) -> bytes | None:
+        """Wait for the first bytes of a request; None if the connection must close."""
+        if self._closing_idle:
+            return None
+        with trio.move_on_after(timeout_s) as scope:
+            self._idle.add(scope)
+            try:
+                return await stream.receive_some(_RECEIVE_BYTES)
+            finally:
+                self._idle.discard(scope)
+        return None
+
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection until it closes.
 
@@ -205,15 +229,11 @@
             if request is None:
                 return
             self._method = request.method
-            self._server.busy += 1
-            try:
-                response = await self._handle(request)
-                if response is None:
-                    return
-                must_close = self._server.is_closing()
-                await self._send(response, must_close)
-            finally:
-                self._server.busy -= 1
+            response = await self._handle(request)
+            if response is None:
+                return
+            must_close = self._server.is_closing()
+            await self._send(response, must_close)
             if must_close or self._http.our_state is not h11.DONE:
                 return
             if self._http.their_state is not h11.DONE:
@@ -224,21 +244,23 @@
         head: h11.Request | None = None
         body = bytearray()
         self._limits = self._server.read_limits()
-        timeout_s = self._limits.idle_timeout_s
         started = False
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
                 if self._http.they_are_waiting_for_100_continue:
                     await self._send_continue()
-                data = await self._receive(timeout_s)
-                if data is None:
-                    if started:
+                if started:
+                    # A slow request is bounded from its first byte.
+                    data = await self._receive(self._limits.request_timeout_s)
+                    if data is None:
                         raise _RequestTimeoutError
-                    return None
-                # A slow request is bounded from its first byte.
-                timeout_s = self._limits.request_timeout_s
-                started = True
+                else:
+                    idle_s = self._limits.idle_timeout_s
+                    data = await self._server.receive_idle(self._stream, idle_s)
+                    if data is None:
+                        return None
+                    started = True
                 self._http.receive_data(data)
             elif isinstance(event, h11.Request):
                 head = event
--- /dev/null
+++ b/tests/test_forwarder.py
@@ -0,0 +1,260 @@
+"""Tests of the core of the forwarding interface."""
+
+import pytest
+
+from acacialatch import backends, deployment, errors, forwarder, forwarding
+
+SHARDS = ("shard-0", "shard-1", "shard-2", "shard-3")
+PAGE = deployment.Route(
+    "page",
+    "search.example",
+    "/page/",
+    deployment.RequestKind.IDEMPOTENT,
+    2.0,
+    0.2,
+    1,
+    2,
+    deployment.ShardTarget(SHARDS, 3, 0.75),
+)
+LOOKUP = deployment.Route(
+    "lookup",
+    "search.example",
+    "/lookup/",
+    deployment.RequestKind.IDEMPOTENT,
+    8.0,
+    0.8,
+    2,
+    2,
+    deployment.SingleTarget("ledger"),
+)
+BOOKING = LOOKUP._replace(
+    name="booking",
+    prefix="/booking/",
+    kind=deployment.RequestKind.NON_IDEMPOTENT,
+)
+SERVICES = {
+    name: deployment.Service(name, 30, 0.0) for name in (*SHARDS, "ledger")
+}
+DEPLOYED = deployment.Deployment(
+    1, (PAGE, LOOKUP, BOOKING), SERVICES, deployment.CallerLimits()
+)
+WALK_STEPS_MAX = 10_000
+
+
+def make_entry(identity, service, zone="ba"):
+    address = f"127.0.0.1:{7000 + sum(identity.encode()) % 1000}"
+    return backends.Entry(identity, service, address, zone, 3, False, 0.0)
+
+
+def make_request(path, identity="r-1", patience_s=2.0):
+    return forwarding.Request(
+        identity, "search.example", "GET", path, path, (), b"", patience_s
+    )
+
+
+def make_reply(body=b"", status=200, signature="s"):
+    return forwarding.Reply(status, signature, (), body)
+
+
+class World:
+    """A forwarder with a clock and its open sends."""
+
+    def __init__(self, replicas=2, budgets=None, deployed=DEPLOYED):
+        budgets = budgets or forwarder.Budgets(0.2, 50.0, 10.0)
+        self.core = forwarder.Forwarder("ba", budgets, 1)
+        self.now = 100.0
+        self.sends = {}
+        self.answers = {}
+        self.notes = []
+        self.cancelled = []
+        if deployed is not None:
+            self.core.put_deployment(deployed)
+        for service in (*SHARDS, "ledger"):
+            for index in range(replicas):
+                entry = make_entry(f"{service}-{index}", service)
+                self.core.backends.put(self.now, entry)
+
+    def take(self, actions):
+        for action in actions:
+            match action:
+                case forwarding.Send():
+                    self.sends[action.number] = action
+                case forwarding.Respond():
+                    assert action.exchange not in self.answers
+                    self.answers[action.exchange] = action.answer
+                case forwarding.Cancel():
+                    self.sends.pop(action.number)
+                    self.cancelled.append(action.number)
+                case forwarding.Note():
+                    self.notes.append(action)
+
+    def ask(self, path, **values):
+        number, actions = self.core.accept(self.now, make_request(path, **values))
+        self.take(actions)
+        return number
+
+    def reply(self, number, reply=None):
+        del self.sends[number]
+        reply = make_reply() if reply is None else reply
+        self.take(self.core.note_reply(self.now, number, reply))
+
+    def fail(self, number, kind):
+        del self.sends[number]
+        failure = forwarding.SendFailure(kind)
+        self.take(self.core.note_failure(self.now, number, failure))
+
+    def walk(self, until):
+        """Let time pass, with each timer at its time."""
+        for _ in range(WALK_STEPS_MAX):
+            at = self.core.next_time()
+            if at > until:
+                self.now = until
+                return
+            self.now = max(self.now, at)
+            self.take(self.core.note_time(self.now))
+        pytest.fail("timers do not make progress")
+
+    def find(self, service):
+        """Return the open sends to the servers of a service."""
+        return [
+            number
+            for number, send in self.sends.items()
+            if send.identity.startswith(service)
+        ]
+
+
+def test_whole_page_is_answered_at_once():
+    world = World()
+    number = world.ask("/page/1")
+    for index, send in enumerate(list(world.sends)):
+        body = bytes([index]) * 16 + bytes([9 - index]) * 16
+        world.reply(send, make_reply(body, signature=f"s{index}"))
+    answer = world.answers[number]
+    assert answer.missing == 0
+    assert set(answer.signatures) == {"s0", "s1", "s2", "s3"}
+    assert answer.body == b"".join(bytes([n]) * 16 for n in (9, 8, 7))
+
+
+def test_page_above_the_floor_is_answered_before_the_objective():
+    world = World(replicas=1)
+    number = world.ask("/page/1")
+    for service in SHARDS[:3]:
+        world.reply(*world.find(service))
+    assert number not in world.answers
+    world.walk(world.now + 0.2)
+    assert world.answers[number].missing == 1
+
+
+def test_page_below_the_floor_fails_without_a_promise():
+    """Guards against a refusal that says "not run" after shards have run."""
+    world = World(replicas=1)
+    number = world.ask("/page/1")
+    for service in SHARDS[:2]:
+        world.reply(*world.find(service))
+    for service in SHARDS[2:]:
+        world.fail(*world.find(service), forwarding.FailureKind.CUT)
+    answer = world.answers[number]
+    assert answer == forwarding.Refused(errors.ErrorKind.COVERAGE_BELOW_FLOOR)
+
+
+def test_slow_shard_is_hedged_and_the_first_reply_counts():
+    world = World()
+    number = world.ask("/page/1")
+    for service in SHARDS[:3]:
+        world.reply(*world.find(service))
+    world.walk(world.now + 0.1)
+    first, second = world.find("shard-3")
+    world.reply(second)
+    assert world.answers[number].missing == 0
+    world.walk(world.now + 1)
+    assert world.cancelled == [first]
+
+
+def test_leg_that_waits_after_its_hedge_time_keeps_timers_going():
+    """A hedge time in the past once kept the process busy for ever."""
+    world = World(replicas=2)
+    world.ask("/page/1")
+    world.now += 0.1
+    first = world.find("shard-3")[0]
+    world.core.backends.find("shard-3-0").shed_until = world.now + 0.05
+    world.core.backends.find("shard-3-1").shed_until = world.now + 0.05
+    world.fail(first, forwarding.FailureKind.SHED)
+    world.walk(world.now + 5)
+    assert not world.core.open_count
+
+
+def test_non_idempotent_request_is_not_sent_again_after_it_may_have_run():
+    world = World()
+    number = world.ask("/booking/1")
+    world.fail(*world.find("ledger"), forwarding.FailureKind.CUT)
+    assert not world.sends
+    answer = world.answers[number]
+    assert errors.ANSWERS[answer.kind].run_state is errors.RunState.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    "kind", sorted(forwarding.NOT_RUN_KINDS, key=lambda kind: kind.value)
+)
+def test_non_idempotent_request_goes_elsewhere_if_it_has_not_run(kind):
+    world = World()
+    number = world.ask("/booking/1")
+    first = world.find("ledger")[0]
+    identity = world.sends[first].identity
+    world.fail(first, kind)
+    (second,) = world.find("ledger")
+    assert world.sends[second].identity != identity
+    world.reply(second)
+    assert isinstance(world.answers[number], forwarding.Passed)
+
+
+def test_request_that_no_server_took_is_refused_as_not_run():
+    world = World()
+    number = world.ask("/booking/1")
+    while world.find("ledger"):
+        world.fail(world.find("ledger")[0], forwarding.FailureKind.NOT_SENT)
+    world.walk(world.now + 1)
+    answer = world.answers[number]
+    assert errors.ANSWERS[answer.kind].run_state is errors.RunState.NOT_RUN
+    assert answer.retry_after_s > 0
+
+
+def test_failure_of_a_server_is_passed_on_unchanged():
+    world = World(replicas=1)
+    number = world.ask("/lookup/1")
+    reply = make_reply(b"no", 500)
+    world.reply(*world.find("ledger"), reply)
+    assert world.answers[number] == forwarding.Passed(reply)
+
+
+def test_request_ends_at_the_timeout_of_its_route():
+    world = World(replicas=1)
+    number = world.ask("/lookup/1", patience_s=60.0)
+    started = world.now
+    world.walk(started + 8.01)
+    assert world.answers[number].kind is errors.ErrorKind.DEADLINE_EXCEEDED
+    assert not world.sends
+
+
+def test_caller_that_leaves_ends_the_work_of_its_request():
+    world = World()
+    number = world.ask("/page/1")
+    world.take(world.core.abandon(world.now, number))
+    assert not world.sends
+    assert not world.core.open_count
+
+
+def test_unknown_path_and_missing_deployment_are_refused():
+    world = World()
+    assert world.answers[world.ask("/other/")].kind is errors.ErrorKind.UNKNOWN_PATH
+    world = World(deployed=None)
+    answer = world.answers[world.ask("/page/1")]
+    assert answer.kind is errors.ErrorKind.NO_CONFIGURATION
+
+
+def test_draining_server_gets_no_new_work():
+    world = World()
+    for service in SHARDS:
+        entry = make_entry(f"{service}-0", service)._replace(draining=True)
+        world.core.backends.put(world.now, entry)
+    world.ask("/page/1")
+    assert {send.identity[-1] for send in world.sends.values()} == {"1"}
