Clear the hedge time of a shard that waits for a server

Timers that are due are now taken before any is handled, so that a timer in the past cannot keep the loop from ending either. test_leg_that_waits_after_its_hedge_time fails without the change.

--- a/acacialatch/forwarder.py
+++ b/acacialatch/forwarder.py
@@ -228,8 +228,10 @@
     def note_time(self, now: float) -> list[forwarding.Action]:
         """Do what is due at this time."""
         actions: list[forwarding.Action] = []
+        due: list[int] = []
         while self._timers and self._timers[0][0] <= now:
-            _, number = heapq.heappop(self._timers)
+            due.append(heapq.heappop(self._timers)[1])
+        for number in due:
             exchange = self._exchanges.get(number)
             if exchange is None:
                 continue
@@ -348,7 +350,7 @@
         actions: list[forwarding.Action],
     ) -> None:
         """Send a leg that has no open send, or find that it is lost."""
-        leg.retry_at = math.inf
+        leg.retry_at = leg.hedge_at = math.inf
         spent = leg.runs >= exchange.route.attempts_max
         if spent or (leg.runs and not exchange.may_repeat):
             self._lose(exchange, leg)
