--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -32,9 +32,7 @@
     prefix="/booking/",
     kind=deployment.RequestKind.NON_IDEMPOTENT,
 )
-SERVICES = {
-    name: deployment.Service(name, 30, 0.0) for name in (*SHARDS, "ledger")
-}
+SERVICES = {name: deployment.Service(name, 30, 0.0) for name in (*SHARDS, "ledger")}
 DEPLOYED = deployment.Deployment(
     1, (PAGE, LOOKUP, BOOKING), SERVICES, deployment.CallerLimits()
 )
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -10,7 +10,12 @@
 
 
 def refuse(kind: str) -> httpserver.Response:
-    statuses = {"malformed_request": 400, "body_too_large": 413, "internal": 500}
+    statuses = {
+        "malformed_request": 400,
+        "request_timeout": 408,
+        "body_too_large": 413,
+        "internal": 500,
+    }
     return httpserver.Response(statuses[kind], kind.encode())
 
 
@@ -65,7 +70,7 @@
         (b"GET / HTTP/1.1\r\n\r\n", b"malformed_request"),
         (
             b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 300000\r\n\r\n"
-            + bytes(httpserver.BODY_BYTES_MAX + 1),
+            + bytes(httpserver.Limits().body_bytes_max + 1),
             b"body_too_large",
         ),
     ],
@@ -122,3 +127,27 @@
     reply = await exchange(stream, GET, b"never")
     assert b"connection: close" in reply.lower()
     assert reply.endswith(b"zone=nadi 0")
+
+
+async def test_idle_connection_is_closed_and_a_begun_request_is_answered(nursery):
+    """Guards against a planned stop that cuts a request that was being read."""
+    server = httpserver.Server(echo, refuse)
+    idle = await open_connection(nursery, server)
+    begun = await open_connection(nursery, server)
+    await begun.send_all(GET[:10])
+    while server.connections < 2:
+        await trio.sleep(0)
+    await trio.testing.wait_all_tasks_blocked()
+    server.announce_close()
+    server.close_idle()
+    with trio.fail_after(5):
+        assert await idle.receive_some(1) == b""
+    assert b"200" in await exchange(begun, GET[10:], b"zone=nadi 0")
+
+
+async def test_request_that_stays_unfinished_is_refused(nursery):
+    """Guards against a connection that holds resources for ever."""
+    limits = httpserver.Limits(request_timeout_s=0.05)
+    server = httpserver.Server(echo, refuse, read_limits=lambda: limits)
+    stream = await open_connection(nursery, server)
+    assert b"request_timeout" in await exchange(stream, GET[:10], b"request_timeout")
