--- a/acacialatch/gossip.py
+++ b/acacialatch/gossip.py
@@ -11,7 +11,7 @@
 DATAGRAM_BYTES_MAX = 60_000
 _RECEIVE_BYTES = 65_536
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(list[members.Member])
+_DECODER = msgspec.msgpack.Decoder(members.Digest)
 
 
 class Gossip:
@@ -54,7 +54,12 @@
 
     async def spread(self, targets: typing.Iterable[str]) -> None:
         """Send a digest now."""
-        data = _ENCODER.encode(self._table.make_digest(trio.current_time()))
+        await self._send(self._table.make_digest(trio.current_time()), targets)
+
+    async def _send(
+        self, digest: members.Digest, targets: typing.Iterable[str]
+    ) -> None:
+        data = _ENCODER.encode(digest)
         if len(data) > DATAGRAM_BYTES_MAX:
             logs.write(logs.Part.MEMBERSHIP, "digest is too large", bytes=len(data))
             return
@@ -66,7 +71,7 @@
     async def _receive(self) -> None:
         while True:
             try:
-                data, _ = await self._socket.recvfrom(_RECEIVE_BYTES)
+                data, (host, port) = await self._socket.recvfrom(_RECEIVE_BYTES)
                 digest = _DECODER.decode(data)
             except OSError:
                 # An earlier datagram came to a closed port.
@@ -74,7 +79,11 @@
             except msgspec.DecodeError:
                 self.malformed += 1
                 continue
-            self._table.take_digest(trio.current_time(), digest)
+            now = trio.current_time()
+            wants_all = self._table.take_digest(now, digest)
+            if wants_all or digest.wants_all:
+                answer = self._table.make_digest(now, digest.wants_all, wants_all)
+                await self._send(answer, [f"{host}:{port}"])
             self._on_change()
 
 
--- a/acacialatch/members.py
+++ b/acacialatch/members.py
@@ -2,14 +2,18 @@
 
 import random
 import typing
+import zlib
 
 PERIOD_S = 0.5
 """Period of digests in seconds."""
 
-TARGETS = 3
+TARGETS = 2
 """Entry instances that get each digest, beside the seeds that are not known yet."""
 
-SILENT_S = 3.0
+NEWS_S = 3.0
+"""Time for which what is new of an entry instance is told in full, in seconds."""
+
+SILENT_S = 4.0
 """An entry instance whose counter has not grown for this long is not named."""
 
 FORGET_S = 30.0
@@ -47,6 +51,30 @@
     ready: bool
 
 
+class Digest(typing.NamedTuple):
+    """What one entry instance tells another.
+
+    Attributes
+    ----------
+    members : list of Member
+        The sender first, then members in full.
+    beats : list of (int, int)
+        Key and beat of members that the receiver should know already.
+    wants_all : bool
+        Whether the receiver should answer with all members in full.
+    """
+
+    members: list[Member]
+    beats: list[tuple[int, int]]
+    wants_all: bool
+
+
+def _make_key(member: Member) -> int:
+    """Return a short key for one state of a member, apart from its beat."""
+    text = f"{member.name} {member.incarnation} {member.ready}"
+    return zlib.crc32(text.encode())
+
+
 class MemberTable:
     """Entry instances that one of them knows.
 
@@ -64,6 +92,8 @@
         self.own = own
         self.set_seeds(seeds)
         self._members: dict[str, Member] = {}
+        self._names: dict[int, str] = {}
+        self._changed_at: dict[str, float] = {}
         self._heard_at: dict[str, float] = {}
         self._random = random.Random(seed)
 
@@ -78,26 +108,64 @@
             self.own = self.own._replace(ready=ready, beat=self.own.beat + 1)
         return changed
 
-    def make_digest(self, now: float) -> list[Member]:
-        """Return the next digest: this entry instance and those heard from lately."""
+    def make_digest(
+        self, now: float, whole: bool = False, wants_all: bool = False
+    ) -> Digest:
+        """Return the next digest.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        whole : bool
+            Whether to tell all members in full, for a receiver that knows few.
+        wants_all : bool
+            Whether to ask for all members.
+        """
         self.own = self.own._replace(beat=self.own.beat + 1)
-        return [self.own, *self._list_heard(now, SILENT_S)]
-
-    def take_digest(self, now: float, members: typing.Iterable[Member]) -> None:
-        """Take a digest of another entry instance."""
-        for member in members:
-            if member.name == self.own.name:
-                if member.incarnation > self.own.incarnation:
-                    # The clock went back between two runs of this process.
-                    self.own = self.own._replace(incarnation=member.incarnation + 1)
+        full = [self.own]
+        beats: list[tuple[int, int]] = []
+        for member in self._list_heard(now, SILENT_S):
+            if whole or now - self._changed_at[member.name] < NEWS_S:
+                full.append(member)
+            else:
+                beats.append((_make_key(member), member.beat))
+        return Digest(full, beats, wants_all)
+
+    def take_digest(self, now: float, digest: Digest) -> bool:
+        """Take a digest; return whether it names members that are not known."""
+        for member in digest.members:
+            self._take_member(now, member)
+        complete = True
+        for key, beat in digest.beats:
+            if key == _make_key(self.own):
                 continue
-            known = self._members.get(member.name)
-            newer = known is None or (
-                (member.incarnation, member.beat) > (known.incarnation, known.beat)
-            )
-            if newer:
-                self._members[member.name] = member
-                self._heard_at[member.name] = now
+            name = self._names.get(key)
+            if name is None:
+                complete = False
+            elif beat > self._members[name].beat:
+                self._members[name] = self._members[name]._replace(beat=beat)
+                self._heard_at[name] = now
+        return not complete
+
+    def _take_member(self, now: float, member: Member) -> None:
+        if member.name == self.own.name:
+            if member.incarnation > self.own.incarnation:
+                # The clock went back between two runs of this process.
+                self.own = self.own._replace(incarnation=member.incarnation + 1)
+            return
+        known = self._members.get(member.name)
+        if known is not None:
+            if (member.incarnation, member.beat) <= (known.incarnation, known.beat):
+                return
+            if _make_key(known) != _make_key(member):
+                del self._names[_make_key(known)]
+                known = None
+        if known is None:
+            self._changed_at[member.name] = now
+            self._names[_make_key(member)] = member.name
+        self._members[member.name] = member
+        self._heard_at[member.name] = now
 
     def choose_targets(self, now: float) -> list[str]:
         """Return the addresses that get the next digest."""
@@ -131,5 +199,7 @@
         for name in [
             name for name, at in self._heard_at.items() if now - at >= FORGET_S
         ]:
+            del self._names[_make_key(self._members[name])]
             del self._members[name]
             del self._heard_at[name]
+            del self._changed_at[name]
