--- /dev/null
+++ b/tests/test_resends.py
@@ -0,0 +1,43 @@
+"""Tests of the budget of repeated sends."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from acacialatch import resends
+
+INSTANCES = 4
+STEPS = st.lists(
+    st.tuples(
+        st.integers(0, INSTANCES - 1),
+        st.sampled_from(["ask", "repeat"]),
+        st.floats(0, 2),
+    ),
+    max_size=200,
+)
+
+
+@given(STEPS)
+def test_sum_over_instances_stays_within_the_bound_of_every_window(steps):
+    """Guards against instances that each use the whole allowance."""
+    budgets = [resends.ResendBudget(0.2, 8.0, 10.0) for _ in range(INSTANCES)]
+    now, asked, repeated = 100.0, [], []
+    for index, what, pause_s in steps:
+        now += pause_s
+        if what == "ask":
+            budgets[index].note_request(now)
+            asked.append(now)
+        elif budgets[index].take(now, INSTANCES):
+            repeated.append(now)
+    for end in repeated:
+        window = [at for at in repeated if end - 10.0 < at <= end]
+        # Requests of the window before count as well.
+        requests = [at for at in asked if end - 20.0 < at <= end]
+        assert len(window) <= 0.2 * len(requests) + 8.0
+
+
+def test_change_of_bounds_keeps_what_was_counted():
+    budget = resends.ResendBudget(0.0, 2.5, 10.0)
+    assert budget.take(1.0, 1)
+    assert budget.take(1.0, 1)
+    budget.set_bounds(0.0, 2.0, 10.0)
+    assert not budget.take(2.0, 1)
