--- a/acacialatch/forwarder.py
+++ b/acacialatch/forwarder.py
@@ -31,9 +31,6 @@
 WAIT_STEP_S = 0.01
 """Period in seconds at which a request without a usable server looks again."""
 
-HOLD_OBJECTIVES = 0.25
-"""Longest wait for a usable server, as a share of the latency objective."""
-
 LINGER_S = 0.5
 """Time in seconds that unneeded sends have to end without losing their connection."""
 
@@ -215,6 +212,7 @@
                 leg.reached = False
         elif failure.kind is forwarding.FailureKind.SHED:
             backend.shed_until = now + backends.SHED_S
+            backend.note_error(now)
             leg.tried.discard(backend.entry.identity)
         elif failure.kind is forwarding.FailureKind.WRONG_SERVER:
             backend.replaced = True
@@ -379,9 +377,7 @@
         self, now: float, exchange: exchanges.Exchange, leg: exchanges.Leg
     ) -> bool:
         """Return whether a server may become usable soon enough."""
-        until = exchange.started + HOLD_OBJECTIVES * exchange.route.objective_s
-        if leg.reached:
-            until = exchange.started + exchange.route.objective_s
+        until = exchange.started + exchange.route.objective_s
         until = min(until, exchange.deadline)
         known = self.backends.list_service(leg.service)
         return any(
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -256,3 +256,36 @@
         world.core.backends.put(world.now, entry)
     world.ask("/page/1")
     assert {send.identity[-1] for send in world.sends.values()} == {"1"}
+
+
+def test_shard_whose_servers_are_full_is_waited_for_until_the_objective():
+    """A page that had most shards was given up after a quarter of its objective."""
+    world = World(replicas=1)
+    backend = world.core.backends.find("shard-3-0")
+    backend.in_flight = 100
+    other = world.core.backends.find("shard-2-0")
+    other.in_flight = 100
+    number = world.ask("/page/1")
+    for service in SHARDS[:2]:
+        world.reply(*world.find(service))
+    world.walk(world.now + 0.1)
+    assert number not in world.answers
+    backend.in_flight = other.in_flight = 0
+    world.walk(world.now + 0.02)
+    for service in SHARDS[2:]:
+        world.reply(*world.find(service))
+    assert world.answers[number].missing == 0
+
+
+def test_server_that_sheds_is_chosen_less_often():
+    world = World()
+    first = world.ask("/lookup/1")
+    send = world.find("ledger")[0]
+    shedding = world.sends[send].identity
+    world.fail(send, forwarding.FailureKind.SHED)
+    world.reply(*world.find("ledger"))
+    assert first in world.answers
+    world.walk(world.now + 0.2)
+    world.ask("/lookup/2")
+    (again,) = world.find("ledger")
+    assert world.sends[again].identity != shedding
