Derive the wait of a watch from the time in which changes must be in force

Log of front-regina-1: the store went silent as its watches began and lost them; they waited 11 s, 7 s of it after its return. A watch now waits 0.8 of config_apply_ms, and a call 0.8 s more.

--- a/acacialatch/entrance.py
+++ b/acacialatch/entrance.py
@@ -135,7 +135,7 @@
         )
         self._members = members.MemberTable(own, settings.seeds, chance.getrandbits(32))
         self._follower = store.Follower(
-            interfaces.store, self._registry, self._take_notes
+            interfaces.store, self._registry, self._take_notes, settings.watch_s
         )
         self._log = logs.Log(LOG_DESCRIPTOR)
         self._waiting: dict[int, _Waiting] = {}
--- a/acacialatch/entrysettings.py
+++ b/acacialatch/entrysettings.py
@@ -26,6 +26,8 @@
         Gossip addresses to start with.
     store_address : str
         Address of the platform's store.
+    watch_s : float
+        Longest wait of one read of changes from the store, in seconds.
     budgets : forwarder.Budgets
         Bounds on repeated sends.
     address_lifetime_s : float
@@ -44,6 +46,7 @@
     gossip_address: str
     seeds: tuple[str, ...]
     store_address: str
+    watch_s: float
     budgets: forwarder.Budgets
     address_lifetime_s: float
     stop_s: float
--- a/acacialatch/store.py
+++ b/acacialatch/store.py
@@ -9,9 +9,6 @@
 
 from acacialatch import errors, forwarding, logs, registry
 
-WATCH_S = 10.0
-"""Longest wait of one watch in seconds; a silent connection is found after it."""
-
 BATCH_S = 0.4
 """Pause after a change in seconds, so that a series of changes takes few reads."""
 
@@ -51,6 +48,10 @@
         Takes what was read.
     on_change : callable
         Called with the notes of each read.
+    watch_s : float
+        Longest wait of one watch in seconds. A watch that the store has lost is only
+        found after it, so it must be shorter than the time in which changes must be
+        in force.
     """
 
     def __init__(
@@ -58,10 +59,12 @@
         store: Store,
         target: registry.Registry,
         on_change: typing.Callable[[list[forwarding.Note]], None],
+        watch_s: float,
     ):
         self._store = store
         self._registry = target
         self._on_change = on_change
+        self._watch_s = watch_s
         self._reachable = False
         self.reads = 0
         self.failures = 0
@@ -73,7 +76,7 @@
         while True:
             self.reads += 1
             if synchronized:
-                answer = await self._store.watch(self._registry.revision, WATCH_S)
+                answer = await self._store.watch(self._registry.revision, self._watch_s)
             else:
                 answer = await self._store.read_all()
             if isinstance(answer, result.Err):
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -31,6 +31,7 @@
 directory = "10.1.0.9:8100"
 [bounds]
 grace_s = 6
+config_apply_ms = 3000
 retry_budget_ratio = 0.2
 budget_window_s = 10
 budget_extra_retries = 54
@@ -119,6 +120,7 @@
     assert settings.seeds == ("10.1.0.9:7380", "10.2.0.21:7380")
     assert settings.budgets == (0.2, 54.0, 10.0)
     assert settings.stop_s < 6
+    assert settings.watch_s + kvstore.CALL_TIMEOUT_S < 3.3
 
 
 @pytest.mark.parametrize(
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -48,7 +48,9 @@
 
 def start(nursery, scripted):
     core = forwarder.Forwarder("ba", forwarder.Budgets(), 1)
-    follower = store.Follower(scripted, registry.Registry(core), lambda notes: None)
+    follower = store.Follower(
+        scripted, registry.Registry(core), lambda notes: None, 2.4
+    )
     nursery.start_soon(follower.run)
     return core
 
@@ -76,6 +78,19 @@
     assert core.deployment.version == 4
 
 
+async def test_watch_that_the_store_has_lost_is_found_within_its_wait(
+    nursery, autojump_clock
+):
+    """An outage lost all watches, and a change was in force 11 s later."""
+    scripted = ScriptedStore()
+    core = start(nursery, scripted)
+    await trio.sleep(0.1)
+    scripted.content = result.Ok(registry.Changes(5, (make_deployment(4, 5),)))
+    scripted.watches = [LOST]
+    await trio.sleep(3.0)
+    assert core.deployment.version == 4
+
+
 async def test_older_version_never_comes_back(nursery, autojump_clock):
     scripted = ScriptedStore()
     newer, older = make_deployment(9, 8), make_deployment(3, 9)
