--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -289,3 +289,20 @@
     world.ask("/lookup/2")
     (again,) = world.find("ledger")
     assert world.sends[again].identity != shedding
+
+
+def test_cold_server_gets_its_share_of_requests_only():
+    """Guards against entry instances that each send what all may send together."""
+    cold = SERVICES | {"ledger": deployment.Service("ledger", 30, 4.0)}
+    world = World(replicas=1, deployed=DEPLOYED._replace(services=cold))
+    world.core.set_instances(2)
+    entry = make_entry("ledger-0", "ledger")._replace(cold_s=3.0)
+    world.core.backends.put(world.now, entry)
+    sent = 0
+    for index in range(20):
+        world.ask("/lookup/1", identity=str(index))
+        world.walk(world.now + 0.1)
+        for number in world.find("ledger"):
+            world.reply(number)
+            sent += 1
+    assert sent <= 2.0 * 4.0 / 2 + 1
