--- a/acacialatch/daemon.py
+++ b/acacialatch/daemon.py
@@ -91,7 +91,13 @@
             nursery.start_soon(self._output.run)
             await nursery.start(self._runner.run)
             accepting = trio.CancelScope()
-            nursery.start_soon(self._accept, listener, accepting, nursery)
+            nursery.start_soon(
+                httpserver.serve_until_cancelled,
+                self._server,
+                listener,
+                accepting,
+                nursery,
+            )
             text = f"{self._settings.name} serves {self._settings.caller_address}"
             self._output.log("process:", text)
             task_status.started()
@@ -129,16 +135,6 @@
         self._runner.perform(self._engine.stop(trio.current_time()))
         await trio.sleep(FLUSH_S)
 
-    async def _accept(
-        self,
-        listener: trio.SocketListener,
-        scope: trio.CancelScope,
-        nursery: trio.Nursery,
-    ) -> None:
-        with scope:
-            await httpserver.serve_listener(self._server, listener, nursery)
-        await listener.aclose()
-
     # Errors.
 
     def _report_error(self, error: Exception) -> None:
--- a/acacialatch/entrance.py
+++ b/acacialatch/entrance.py
@@ -1,7 +1,6 @@
 """Sockets, timers and signals around the forwarder."""
 
 import abc
-import contextlib
 import math
 import random
 import signal
@@ -165,7 +164,13 @@
             )
             accepting = trio.CancelScope()
             listener = await httpserver.listen(self._settings.caller_address)
-            nursery.start_soon(self._accept, listener, accepting, nursery)
+            nursery.start_soon(
+                httpserver.serve_until_cancelled,
+                self._callers,
+                listener,
+                accepting,
+                nursery,
+            )
             await self._serve_questions(nursery)
             nursery.start_soon(self._follower.run)
             nursery.start_soon(self._run_timers)
@@ -386,14 +391,3 @@
                 return
             self._perform(self._forwarder.stop(trio.current_time()))
             await trio.sleep(FLUSH_S)
-
-    async def _accept(
-        self,
-        listener: trio.SocketListener,
-        scope: trio.CancelScope,
-        nursery: trio.Nursery,
-    ) -> None:
-        with scope:
-            await httpserver.serve_listener(self._callers, listener, nursery)
-        with contextlib.suppress(OSError):
-            await listener.aclose()
--- a/acacialatch/exchanges.py
+++ b/acacialatch/exchanges.py
@@ -115,3 +115,38 @@
             if not leg.is_settled:
                 times += (leg.hedge_at, leg.retry_at)
         return min(times)
+
+    def describe(self, now: float, outcome: str, instances: int) -> forwarding.Note:
+        """Return the log line of the request when it has ended.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        outcome : str
+            How it ended.
+        instances : int
+            Entry instances that share limits and budgets.
+        """
+        unusual = [
+            f"{leg.service}: {', '.join(leg.trace) or 'no reply'}"
+            for leg in self.legs
+            if leg.reply is None or len(leg.trace) > 1
+        ]
+        return forwarding.Note(
+            "request:",
+            "ended",
+            {
+                "id": self.request.identity,
+                "outcome": outcome,
+                "route": self.route.name,
+                "version": self.version,
+                "ms": round(1000 * (now - self.started), 1),
+                "arrived": self.arrived,
+                "shards": len(self.legs),
+                "hedges": self.hedges,
+                "retries": self.retries,
+                "instances": instances,
+                "unusual": unusual,
+            },
+        )
--- a/acacialatch/forwarder.py
+++ b/acacialatch/forwarder.py
@@ -153,11 +153,8 @@
         self.counts["caller_gone"] += 1
         actions: list[forwarding.Action] = []
         for leg in exchange.legs:
-            for attempt in leg.open.values():
-                del self._sends[attempt.number]
-                attempt.backend.end(attempt.number)
-                actions.append(forwarding.Cancel(attempt.number))
-        actions.append(self._describe(now, exchange, "caller gone"))
+            self._cancel_open(leg, actions)
+        actions.append(exchange.describe(now, "caller gone", self._instances))
         return actions
 
     def note_reply(
@@ -453,6 +450,15 @@
             )
         leg.open.clear()
 
+    def _cancel_open(
+        self, leg: exchanges.Leg, actions: list[forwarding.Action]
+    ) -> None:
+        for attempt in leg.open.values():
+            del self._sends[attempt.number]
+            attempt.backend.end(attempt.number)
+            actions.append(forwarding.Cancel(attempt.number))
+        leg.open.clear()
+
     def _end_lingering(self, now: float, number: int, success: bool | None) -> None:
         found = self._lingering.pop(number, None)
         if found is None:
@@ -546,18 +552,14 @@
         self._exchanges.pop(exchange.number, None)
         refused = isinstance(answer, forwarding.Refused)
         for leg in exchange.legs:
-            if not refused:
+            if refused:
+                self._cancel_open(leg, actions)
+            else:
                 self._linger(now, leg, exchange.route.name)
-                continue
-            for attempt in leg.open.values():
-                del self._sends[attempt.number]
-                attempt.backend.end(attempt.number)
-                actions.append(forwarding.Cancel(attempt.number))
-            leg.open.clear()
         actions.append(forwarding.Respond(exchange.number, answer))
         outcome = answer.kind.value if refused else "answered"
         self.counts[outcome] += 1
-        actions.append(self._describe(now, exchange, outcome))
+        actions.append(exchange.describe(now, outcome, self._instances))
 
     def _refuse_new(
         self, number: int, request: forwarding.Request, kind: errors.ErrorKind
@@ -583,33 +585,6 @@
             ),
         ]
 
-    def _describe(
-        self, now: float, exchange: exchanges.Exchange, outcome: str
-    ) -> forwarding.Note:
-        """Return the log line of a request that has ended."""
-        unusual = [
-            f"{leg.service}: {', '.join(leg.trace) or 'no reply'}"
-            for leg in exchange.legs
-            if leg.reply is None or len(leg.trace) > 1
-        ]
-        return forwarding.Note(
-            "request:",
-            "ended",
-            {
-                "id": exchange.request.identity,
-                "outcome": outcome,
-                "route": exchange.route.name,
-                "version": exchange.version,
-                "ms": round(1000 * (now - exchange.started), 1),
-                "arrived": exchange.arrived,
-                "shards": len(exchange.legs),
-                "hedges": exchange.hedges,
-                "retries": exchange.retries,
-                "instances": self._instances,
-                "unusual": unusual,
-            },
-        )
-
     def _schedule(self, now: float, exchange: exchanges.Exchange) -> None:
         if exchange.answered:
             return
--- a/acacialatch/httpserver.py
+++ b/acacialatch/httpserver.py
@@ -382,3 +382,18 @@
     await trio.serve_listeners(
         functools.partial(server.serve), [listener], handler_nursery=nursery
     )
+
+
+async def serve_until_cancelled(
+    server: Server,
+    listener: trio.SocketListener,
+    scope: trio.CancelScope,
+    nursery: trio.Nursery,
+) -> None:
+    """Accept connections until `scope` is cancelled, then close the listener.
+
+    Connections that were accepted go on in `nursery`.
+    """
+    with scope:
+        await serve_listener(server, listener, nursery)
+    await listener.aclose()
