Let the fixed allowance of repeated sends grow after a start

All processes ended at about 34 s, and the new ones spent the whole allowance again inside the same window. The allowance now grows from 0 over the first window of a process. test_process_that_starts_does_not_spend_the_allowance_again fails without it (the argument does not exist).

--- a/acacialatch/entrance.py
+++ b/acacialatch/entrance.py
@@ -120,7 +120,10 @@
         self._reload = reload
         chance = random.SystemRandom()
         self._forwarder = forwarder.Forwarder(
-            settings.zone, settings.budgets, chance.getrandbits(32)
+            settings.zone,
+            settings.budgets,
+            chance.getrandbits(32),
+            trio.current_time(),
         )
         self._registry = registry.Registry(self._forwarder)
         own = members.Member(
--- a/acacialatch/forwarder.py
+++ b/acacialatch/forwarder.py
@@ -60,9 +60,14 @@
         Bounds on repeated sends.
     seed : int
         Seed of random choices.
+    started : float
+        Start of the process.
     """
 
-    def __init__(self, zone: str, budgets: Budgets, seed: int):
+    def __init__(
+        self, zone: str, budgets: Budgets, seed: int, started: float = -math.inf
+    ):
+        self._started = started
         self.backends = backends.BackendTable(zone)
         self.deployment: deployment.Deployment | None = None
         self._routes = deployment.RouteTable(())
@@ -273,7 +278,7 @@
     def _find_resends(self, service: str) -> resends.ResendBudget:
         budget = self._resends.get(service)
         if budget is None:
-            budget = resends.ResendBudget(*self._budgets)
+            budget = resends.ResendBudget(*self._budgets, self._started)
             self._resends[service] = budget
         return budget
 
--- a/acacialatch/resends.py
+++ b/acacialatch/resends.py
@@ -1,6 +1,7 @@
 """Budget of repeated sends of one service, in sum over all entry instances."""
 
 import collections
+import math
 
 MARGIN_S = 0.5
 """Added to the window, since sends arrive later than they are counted."""
@@ -23,9 +24,19 @@
         Repeated sends of all entry instances in a window beyond the ratio.
     window_s : float
         Length of the window in seconds.
+    started : float
+        Start of the process. What it spent before is not known, so the allowance
+        grows from 0 over the first window.
     """
 
-    def __init__(self, ratio: float, allowance: float, window_s: float):
+    def __init__(
+        self,
+        ratio: float,
+        allowance: float,
+        window_s: float,
+        started: float = -math.inf,
+    ):
+        self._started = started
         self._requests: collections.deque[float] = collections.deque()
         self._resends: collections.deque[float] = collections.deque()
         self.set_bounds(ratio, allowance, window_s)
@@ -52,7 +63,8 @@
             Entry instances that share the allowance, at least 1.
         """
         self._expire(now)
-        limit = self._ratio * len(self._requests) + self._allowance / instances
+        known = min(1.0, (now - self._started) / self._window_s)
+        limit = self._ratio * len(self._requests) + known * self._allowance / instances
         return SAFETY * limit - len(self._resends)
 
     def take(self, now: float, instances: int) -> bool:
--- a/tests/test_resends.py
+++ b/tests/test_resends.py
@@ -41,3 +41,13 @@
     assert budget.take(1.0, 1)
     budget.set_bounds(0.0, 2.0, 10.0)
     assert not budget.take(2.0, 1)
+
+
+def test_process_that_starts_does_not_spend_the_allowance_again():
+    """Guards against a fleet that restarts and spends one window's budget twice."""
+    before = resends.ResendBudget(0.0, 10.0, 10.0, 0.0)
+    after = resends.ResendBudget(0.0, 10.0, 10.0, 100.0)
+    spent = sum(before.take(99.0, 1) for _ in range(20))
+    spent += sum(after.take(100.0 + step / 10, 1) for step in range(40))
+    assert spent <= 15
+    assert after.take(120.0, 1)
