Name the strongest entry instances near the caller

Cause: the directory named all entry instances, so each of 59 or 66 of them got a query every 2 to 3 s.

Change: instances tell their capacity and load in digests; the directory names the strongest in the caller's zone that can carry the zone's load, and one elsewhere.

--- a/acacialatch/entrance.py
+++ b/acacialatch/entrance.py
@@ -11,6 +11,7 @@
 import trio
 
 from acacialatch import (
+    addresses,
     backendclient,
     entrysettings,
     errors,
@@ -48,6 +49,18 @@
 """Standard output."""
 
 
+class AddressQuestion(typing.NamedTuple):
+    """A caller asks which addresses to use.
+
+    Attributes
+    ----------
+    zone : str
+        Availability zone of the caller; empty if it did not say.
+    """
+
+    zone: str
+
+
 class CallerProtocol(abc.ABC):
     """Translates between callers' HTTP messages and requests and answers."""
 
@@ -68,8 +81,10 @@
         """Return whether this asks if callers may be sent here."""
 
     @abc.abstractmethod
-    def is_address_question(self, message: httpserver.Request) -> bool:
-        """Return whether this asks which addresses to use."""
+    def decode_address_question(
+        self, message: httpserver.Request
+    ) -> AddressQuestion | None:
+        """Return a question which addresses to use, or None if it is something else."""
 
     @abc.abstractmethod
     def encode_addresses(
@@ -134,11 +149,13 @@
             settings.gossip_address,
             settings.zone,
             False,
+            settings.capacity,
         )
         self._members = members.MemberTable(own, settings.seeds, chance.getrandbits(32))
         self._follower = store.Follower(
             interfaces.store, self._registry, self._take_notes, settings.watch_s
         )
+        self._load = addresses.LoadMeter()
         self._log = logs.Log(LOG_DESCRIPTOR)
         self._waiting: dict[int, _Waiting] = {}
         self._latencies: dict[str, exposition.Histogram] = {}
@@ -286,7 +303,10 @@
     async def _keep_house(self) -> None:
         while True:
             await trio.sleep(HOUSEKEEPING_S)
-            self._take_notes(self._registry.note_time(trio.current_time()))
+            now = trio.current_time()
+            self._take_notes(self._registry.note_time(now))
+            sends = self._forwarder.sends_made
+            self._members.set_load(self._load.note_sends(now, sends))
             self._count_members()
 
     def _count_members(self) -> None:
@@ -337,13 +357,17 @@
         self, message: httpserver.Request
     ) -> httpserver.Response:
         protocol = self._interfaces.callers
-        if not protocol.is_address_question(message):
+        question = protocol.decode_address_question(message)
+        if question is None:
             return self._refuse(errors.ErrorKind.UNKNOWN_PATH.value)
         ready = self._members.list_ready(trio.current_time())
         if not ready:
             return self._refuse(errors.ErrorKind.NO_CONFIGURATION.value)
-        addresses = sorted(one.caller_address for one in ready)
-        return protocol.encode_addresses(addresses, self._settings.address_lifetime_s)
+        named = addresses.choose_named(ready, question.zone)
+        return protocol.encode_addresses(
+            sorted(one.caller_address for one in named),
+            self._settings.address_lifetime_s,
+        )
 
     async def _answer_metrics(self, message: httpserver.Request) -> httpserver.Response:
         if message.path != self._settings.metrics_path:
--- a/acacialatch/entrysettings.py
+++ b/acacialatch/entrysettings.py
@@ -32,6 +32,8 @@
         Bounds on repeated sends.
     address_lifetime_s : float
         How long callers may use the addresses that they were told.
+    capacity : float
+        Processor cores that the process may use.
     stop_s : float
         Time from a stop signal to the end of the process, at most.
     """
@@ -49,4 +51,5 @@
     watch_s: float
     budgets: forwarder.Budgets
     address_lifetime_s: float
+    capacity: float
     stop_s: float
--- a/acacialatch/forwarder.py
+++ b/acacialatch/forwarder.py
@@ -82,7 +82,7 @@
         # Sends of answered exchanges, which may end on their own until the time given.
         self._lingering: dict[int, tuple[backends.Backend, float, float, str]] = {}
         self._timers: list[tuple[float, int]] = []
-        self.closing = False
+        self.sends_made = 0
         self.counts: collections.Counter[str] = collections.Counter()
 
     # State of the world.
@@ -400,6 +400,7 @@
         actions: list[forwarding.Action],
     ) -> None:
         self._numbers += 1
+        self.sends_made += 1
         number = self._numbers
         delay_s = self._hedge_delay(exchange.route)
         backend.begin(number, now + delay_s)
--- a/acacialatch/members.py
+++ b/acacialatch/members.py
@@ -40,6 +40,10 @@
         Its availability zone.
     ready : bool
         Whether callers may be sent to it.
+    capacity : float
+        Processor cores that it may use.
+    load : float
+        Processor cores that its requests take, as of its last own digest.
     """
 
     name: str
@@ -49,6 +53,8 @@
     gossip_address: str
     zone: str
     ready: bool
+    capacity: float = 1.0
+    load: float = 0.0
 
 
 class Digest(typing.NamedTuple):
@@ -108,6 +114,10 @@
             self.own = self.own._replace(ready=ready, beat=self.own.beat + 1)
         return changed
 
+    def set_load(self, load: float) -> None:
+        """Say how many processor cores the requests take."""
+        self.own = self.own._replace(load=round(load, 3))
+
     def make_digest(
         self, now: float, whole: bool = False, wants_all: bool = False
     ) -> Digest:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -11,6 +11,7 @@
 from acacialatch import (
     backends,
     deployment,
+    entrance,
     errors,
     forwarding,
     httpserver,
@@ -29,6 +30,9 @@
 ready = "10.1.0.9:8108"
 control = "10.1.0.9:8106"
 directory = "10.1.0.9:8100"
+[limits]
+cpu_share = 0.717
+cpu_cores = 3
 [bounds]
 grace_s = 6
 config_apply_ms = 3000
@@ -120,6 +124,7 @@
     assert settings.seeds == ("10.1.0.9:7380", "10.2.0.21:7380")
     assert settings.budgets == (0.2, 54.0, 10.0)
     assert settings.stop_s < 6
+    assert settings.capacity == pytest.approx(2.151)
     assert settings.watch_s + kvstore.CALL_TIMEOUT_S < 3.3
 
 
@@ -265,6 +270,21 @@
     assert json.loads(response.body) == {"addrs": ["10.1.0.9:8104"], "ttl_s": 2.0}
 
 
+@pytest.mark.parametrize(
+    ("target", "question"),
+    [
+        ("/resolution?name=a&region=r&zone=ba-c", entrance.AddressQuestion("ba-c")),
+        ("/resolution?name=a&zone=ba%2Dc", entrance.AddressQuestion("ba-c")),
+        ("/resolution", entrance.AddressQuestion("")),
+        ("/readiness", None),
+    ],
+)
+def test_question_for_addresses_is_decoded(target, question):
+    path, _, query = target.partition("?")
+    message = httpserver.Request("GET", path, query, {}, b"", "10.9.0.1", target)
+    assert callers.PlatformCallers().decode_address_question(message) == question
+
+
 def test_request_to_a_server_is_encoded():
     fields = ((b"host", b"pupu76.example"), (b"x-request-id", b"9c41"))
     data = servers.PlatformBackends().encode(
