--- a/acacialatch/members.py
+++ b/acacialatch/members.py
@@ -8,7 +8,10 @@
 """Period of digests in seconds."""
 
 TARGETS = 2
-"""Entry instances that get each digest, beside the seeds that are not known yet."""
+"""Entry instances of the own zone that get each digest, beside unknown seeds."""
+
+TARGETS_ELSEWHERE = 1
+"""Digests that a zone as a whole sends to each other zone in a period."""
 
 NEWS_S = 3.0
 """Time for which what is new of an entry instance is told in full, in seconds."""
@@ -180,8 +183,16 @@
     def choose_targets(self, now: float) -> list[str]:
         """Return the addresses that get the next digest."""
         self._forget(now)
-        known = [one.gossip_address for one in self._members.values()]
-        targets = self._random.sample(known, min(TARGETS, len(known)))
+        members = list(self._members.values())
+        near = [one.gossip_address for one in members if one.zone == self.own.zone]
+        far = [one.gossip_address for one in members if one.zone != self.own.zone]
+        targets = self._random.sample(near, min(TARGETS, len(near)))
+        # Traffic between zones is dear, so the instances of a zone take turns.
+        zones = len({one.zone for one in members} - {self.own.zone})
+        share = TARGETS_ELSEWHERE * zones / (1 + len(near))
+        count = int(share) + (self._random.random() < share % 1)
+        targets += self._random.sample(far, min(count, len(far)))
+        known = {*near, *far}
         targets += [one for one in self._seeds if one not in known]
         return targets
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -13,27 +13,36 @@
 class Fleet:
     """Member tables that exchange digests without a network."""
 
-    def __init__(self, count, seeds=3):
+    def __init__(self, count, seeds=3, zones=1):
         addresses = [f"10.0.0.{index}:7" for index in range(count)]
         self.now = 0.0
         self.tables = {
             address: members.MemberTable(
                 members.Member(
-                    f"entry-{index}", 1, 0, f"c{index}", address, "ba", True
+                    f"entry-{index}",
+                    1,
+                    0,
+                    f"c{index}",
+                    address,
+                    f"z{index % zones}",
+                    True,
                 ),
                 tuple(addresses[:seeds]),
                 index,
             )
             for index, address in enumerate(addresses)
         }
-        self.bytes = 0
+        self.bytes = self.bytes_between_zones = 0
         self._random = random.Random(1)
 
     def deliver(self, sender, target, digest):
         if target not in self.tables:
             return
-        self.bytes += len(msgspec.msgpack.encode(digest))
+        size = len(msgspec.msgpack.encode(digest))
         table = self.tables[target]
+        self.bytes += size
+        if digest.members[0].zone != table.own.zone:
+            self.bytes_between_zones += size
         wants_all = table.take_digest(self.now, digest)
         if wants_all or digest.wants_all:
             answer = table.make_digest(self.now, digest.wants_all, wants_all)
@@ -102,6 +111,36 @@
     assert fleet.bytes / (66 * members.TARGETS) < DIGEST_BYTES_MAX
 
 
+def test_few_digests_of_a_settled_fleet_leave_their_zone():
+    """Digests to any instance once were a third of the bytes between zones."""
+    fleet = Fleet(66, zones=5)
+    fleet.run(10.0)
+    fleet.bytes_between_zones = 0
+    fleet.run(20 * members.PERIOD_S)
+    digests = 20 * 5 * 4 * members.TARGETS_ELSEWHERE
+    assert fleet.bytes_between_zones < 1.5 * digests * DIGEST_BYTES_MAX
+
+
+@pytest.mark.parametrize(("count", "zones"), [(7, 4), (66, 5)])
+def test_instances_of_several_zones_stay_known(count, zones):
+    fleet = Fleet(count, zones=zones)
+    fleet.run(10.0)
+    for _ in range(40):
+        fleet.run(members.PERIOD_S)
+        named = fleet.list_named()
+        assert sum(len(one) for one in named) > 0.99 * count * count
+
+
+@pytest.mark.parametrize(("count", "zones"), [(7, 4), (66, 5)])
+def test_ended_instance_is_forgotten_in_all_zones(count, zones):
+    """Bound: the directory may name an ended instance for 7 s."""
+    fleet = Fleet(count, zones=zones)
+    fleet.run(10.0)
+    del fleet.tables["10.0.0.1:7"]
+    fleet.run(7.0)
+    assert all("entry-1" not in named for named in fleet.list_named())
+
+
 def test_seeds_that_are_not_known_count_in_shares():
     fleet = Fleet(3)
     assert fleet.tables["10.0.0.0:7"].count_sharing(0.0) == 3
