--- a/acacialatch/addresses.py
+++ b/acacialatch/addresses.py
@@ -78,6 +78,26 @@
     return chosen + _take_from_each_zone(far, spare)
 
 
+def choose_peers(
+    ready: typing.Sequence[members.Member], zone: str
+) -> list[members.Member]:
+    """Return the entry instances of the other zones that take parts of queries.
+
+    Parameters
+    ----------
+    ready : sequence of Member
+        Entry instances that accept requests.
+    zone : str
+        Availability zone that is left out.
+    """
+    by_strength = sorted(ready, key=lambda one: (-one.capacity, one.name))
+    chosen = []
+    for other in sorted({one.zone for one in ready} - {zone}):
+        near = [one for one in by_strength if one.zone == other]
+        chosen += near[: _count_enough(near, sum(one.load for one in near))]
+    return chosen
+
+
 def _count_enough(by_strength: list[members.Member], load: float) -> int:
     """Return how many of the strongest are needed for a load."""
     best = 0
--- a/acacialatch/backendclient.py
+++ b/acacialatch/backendclient.py
@@ -27,21 +27,25 @@
 _RECEIVE_BYTES = 65536
 
 
+Outcome = forwarding.Reply | forwarding.Gathered
+"""Reply of a backend server, or of an entry instance to a batch."""
+
+
 class BackendProtocol(abc.ABC):
     """Translates requests and replies to and from the protocol of backend servers."""
 
     @abc.abstractmethod
-    def encode(self, send: forwarding.Send) -> bytes:
+    def encode(self, send: forwarding.Outgoing) -> bytes:
         """Return the bytes of a request."""
 
     @abc.abstractmethod
     def decode(
         self,
-        send: forwarding.Send,
+        send: forwarding.Outgoing,
         status: int,
         fields: list[tuple[bytes, bytes]],
         body: bytes,
-    ) -> forwarding.Reply | forwarding.SendFailure:
+    ) -> Outcome | forwarding.SendFailure:
         """Return the reply, or why it does not count.
 
         Parameters
@@ -61,7 +65,7 @@
     """Takes what becomes of sends."""
 
     @abc.abstractmethod
-    def take_reply(self, number: int, reply: forwarding.Reply) -> None:
+    def take_reply(self, number: int, reply: Outcome) -> None:
         """Take a whole reply."""
 
     @abc.abstractmethod
@@ -134,7 +138,7 @@
 
     address: str
     socket: socket.socket
-    send: forwarding.Send | None
+    send: forwarding.Outgoing | None
     parser: _Parser
     unsent: bytes = b""
     used_at: float = 0.0
@@ -169,7 +173,7 @@
         self.opened = 0
         self.connections = 0
 
-    def send(self, send: forwarding.Send) -> None:
+    def send(self, send: forwarding.Outgoing) -> None:
         """Send a request; the receiver gets the outcome later."""
         connection = self._take_idle(send)
         if connection is None:
@@ -203,7 +207,7 @@
         for connection in self._idle.pop(address, ()):
             self._close(connection)
 
-    def _take_idle(self, send: forwarding.Send) -> _Connection | None:
+    def _take_idle(self, send: forwarding.Outgoing) -> _Connection | None:
         idle = self._idle.get(send.address)
         now = trio.current_time()
         while idle:
@@ -219,7 +223,7 @@
             return connection
         return None
 
-    def _open(self, send: forwarding.Send) -> None:
+    def _open(self, send: forwarding.Outgoing) -> None:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sockets.watch_silence(sock)
@@ -230,7 +234,7 @@
         self._make_room(send)
         self._nursery.start_soon(self._run, connection)
 
-    def _make_room(self, send: forwarding.Send) -> None:
+    def _make_room(self, send: forwarding.Outgoing) -> None:
         """Close idle connections over the limit that could not be used."""
         idle = self._idle.get(send.address, [])
         while len(idle) >= send.connections_max > 0 and idle:
@@ -288,7 +292,9 @@
             count = connection.socket.send(connection.unsent)
             connection.unsent = connection.unsent[count:]
 
-    async def _write_rest(self, connection: _Connection, send: forwarding.Send) -> None:
+    async def _write_rest(
+        self, connection: _Connection, send: forwarding.Outgoing
+    ) -> None:
         """Write the rest of a long request."""
         with contextlib.suppress(trio.ClosedResourceError):
             while connection.unsent and connection.send is send:
@@ -349,10 +355,10 @@
         outcome = self._protocol.decode(
             send, parser.status, parser.fields, bytes(parser.body)
         )
-        if isinstance(outcome, forwarding.Reply):
-            self._receiver.take_reply(send.number, outcome)
-        else:
+        if isinstance(outcome, forwarding.SendFailure):
             self._receiver.take_failure(send.number, outcome)
+        else:
+            self._receiver.take_reply(send.number, outcome)
 
     def _fail(
         self, connection: _Connection, kind: forwarding.FailureKind, detail: str
--- a/acacialatch/backends.py
+++ b/acacialatch/backends.py
@@ -103,12 +103,16 @@
         slowness = 1 + (self.slowness - 1) * memory
         score = slowness * (1 + self.in_flight / max(1, self.entry.slots))
         score *= 1 + ERROR_FACTOR * self.errors * memory
-        if any(now >= at for at in self.stalls.values()):
+        if self.is_stalled(now):
             score += STALL_PENALTY
         if self.entry.zone != zone:
             score += OTHER_ZONE_PENALTY
         return score
 
+    def is_stalled(self, now: float) -> bool:
+        """Return whether a request takes longer than expected."""
+        return any(now >= at for at in self.stalls.values())
+
     def begin(self, send: int, stalls_at: float) -> None:
         """Count a request that is about to be sent."""
         self.in_flight += 1
@@ -216,6 +220,10 @@
         """Return the identities of all registered servers."""
         return set(self._backends)
 
+    def list_services(self) -> list[str]:
+        """Return the services with a registered server, in order of their names."""
+        return sorted(name for name, known in self._services.items() if known)
+
     def list_service(self, service: str) -> list[Backend]:
         """Return the servers of a service outside the zones taken out."""
         return [
@@ -224,6 +232,12 @@
             if one.entry.zone not in self._zones_out
         ]
 
+    def list_zones(self, now: float, service: str) -> frozenset[str]:
+        """Return the availability zones with a usable server of a service."""
+        return frozenset(
+            one.entry.zone for one in self.list_service(service) if one.is_usable(now)
+        )
+
     def choose(
         self,
         now: float,
--- /dev/null
+++ b/acacialatch/batchlink.py
@@ -0,0 +1,67 @@
+"""Batches between entry instances, as HTTP messages with msgpack bodies."""
+
+import msgspec
+
+from acacialatch import backendclient, errors, forwarding, httpserver
+
+PATH = "/batch"
+_ENCODER = msgspec.msgpack.Encoder()
+_BATCHES = msgspec.msgpack.Decoder(forwarding.Batch)
+_REPLIES = msgspec.msgpack.Decoder(forwarding.Gathered)
+
+
+class BatchProtocol(backendclient.BackendProtocol):
+    """The side that sends batches."""
+
+    def encode(self, send: forwarding.Outgoing) -> bytes:
+        """Return the bytes of a request; see `backendclient.BackendProtocol`."""
+        assert isinstance(send, forwarding.Delegate)
+        body = _ENCODER.encode(send.batch)
+        head = f"POST {PATH} HTTP/1.1\r\nhost: {send.address}\r\n"
+        return f"{head}content-length: {len(body)}\r\n\r\n".encode() + body
+
+    def decode(
+        self,
+        send: forwarding.Outgoing,
+        status: int,
+        fields: list[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> forwarding.Gathered | forwarding.SendFailure:
+        """Return the reply; see `backendclient.BackendProtocol`."""
+        assert isinstance(send, forwarding.Delegate)
+        if status == errors.ANSWERS[errors.ErrorKind.NOT_RUN].status:
+            return forwarding.SendFailure(forwarding.FailureKind.SHED, str(status))
+        if status != 200:
+            return forwarding.SendFailure(forwarding.FailureKind.CUT, str(status))
+        try:
+            reply = _REPLIES.decode(body)
+        except msgspec.DecodeError as error:
+            detail = str(error)
+            return forwarding.SendFailure(forwarding.FailureKind.GARBLED, detail)
+        indexes = [index for index, _ in reply.arrived]
+        indexes += [shard.index for shard in reply.open]
+        if sorted(indexes) != list(range(len(send.batch.services))):
+            detail = "reply to other shards"
+            return forwarding.SendFailure(forwarding.FailureKind.GARBLED, detail)
+        return reply
+
+
+def decode_batch(message: httpserver.Request) -> forwarding.Batch | None:
+    """Return the batch of a request, or None if it is not one."""
+    if (message.method, message.path) != ("POST", PATH):
+        return None
+    try:
+        return _BATCHES.decode(message.body)
+    except msgspec.DecodeError:
+        return None
+
+
+def encode_answer(answer: forwarding.Answer) -> httpserver.Response:
+    """Return the reply to a batch."""
+    if isinstance(answer, forwarding.Gathered):
+        return httpserver.Response(200, _ENCODER.encode(answer), (), "")
+    assert isinstance(answer, forwarding.Refused)
+    kind = answer.kind
+    if errors.ANSWERS[kind].run_state is errors.RunState.NOT_RUN:
+        kind = errors.ErrorKind.NOT_RUN
+    return httpserver.Response(errors.ANSWERS[kind].status, b"", (), "")
--- a/acacialatch/entrance.py
+++ b/acacialatch/entrance.py
@@ -13,6 +13,8 @@
 from acacialatch import (
     addresses,
     backendclient,
+    backends,
+    batchlink,
     entrysettings,
     errors,
     exposition,
@@ -45,6 +47,9 @@
 HOUSEKEEPING_S = 0.25
 """Period in seconds of work that no event starts."""
 
+BATCHES_PER_CORE = 8
+"""Batches that an entry instance handles at once without delay, for each core."""
+
 LOG_DESCRIPTOR = 1
 """Standard output."""
 
@@ -109,6 +114,26 @@
         self.answer: forwarding.Answer | None = None
 
 
+class _BatchReceiver(backendclient.Receiver):
+    """Takes what becomes of batches that were sent to other entry instances."""
+
+    def __init__(
+        self,
+        target: forwarder.Forwarder,
+        perform: typing.Callable[[list[forwarding.Action]], None],
+    ):
+        self._forwarder = target
+        self._perform = perform
+
+    def take_reply(self, number: int, reply: backendclient.Outcome) -> None:
+        assert isinstance(reply, forwarding.Gathered)
+        self._perform(self._forwarder.note_batch(trio.current_time(), number, reply))
+
+    def take_failure(self, number: int, failure: forwarding.SendFailure) -> None:
+        now = trio.current_time()
+        self._perform(self._forwarder.note_batch_failure(now, number, failure))
+
+
 class Entrance(backendclient.Receiver):
     """One entry instance that serves the forwarding interface.
 
@@ -177,6 +202,11 @@
             self._client = backendclient.BackendClient(
                 self._interfaces.backends, self, nursery
             )
+            self._peers = backendclient.BackendClient(
+                batchlink.BatchProtocol(),
+                _BatchReceiver(self._forwarder, self._perform),
+                nursery,
+            )
             self._gossip = gossip.Gossip(self._members, self._count_members)
             await nursery.start(self._gossip.run)
             self._callers = httpserver.Server(
@@ -192,6 +222,7 @@
                 nursery,
             )
             await self._serve_questions(nursery)
+            await self._serve_batches(nursery)
             nursery.start_soon(self._follower.run)
             nursery.start_soon(self._run_timers)
             nursery.start_soon(self._keep_house)
@@ -210,6 +241,15 @@
 
     # Requests of callers.
 
+    async def _handle_batch(self, message: httpserver.Request) -> httpserver.Response:
+        batch = batchlink.decode_batch(message)
+        if batch is None:
+            logs.write(logs.Part.REQUEST, "batch is malformed", peer=message.peer)
+            return self._refuse(errors.ErrorKind.MALFORMED_REQUEST.value)
+        now = trio.current_time()
+        answer = await self._wait_for_answer(*self._forwarder.accept_batch(now, batch))
+        return batchlink.encode_answer(answer)
+
     async def _handle(self, message: httpserver.Request) -> httpserver.Response:
         protocol = self._interfaces.callers
         request = protocol.decode(message)
@@ -218,8 +258,13 @@
                 logs.Part.REQUEST, "refused", error=request.value, path=message.path
             )
             return protocol.encode(None, forwarding.Refused(request))
-        started = trio.current_time()
-        number, actions = self._forwarder.accept(started, request)
+        now = trio.current_time()
+        answer = await self._wait_for_answer(*self._forwarder.accept(now, request))
+        return protocol.encode(request, answer)
+
+    async def _wait_for_answer(
+        self, number: int, actions: list[forwarding.Action]
+    ) -> forwarding.Answer:
         waiting = _Waiting()
         self._waiting[number] = waiting
         try:
@@ -231,7 +276,7 @@
         finally:
             del self._waiting[number]
         assert waiting.answer is not None
-        return protocol.encode(request, waiting.answer)
+        return waiting.answer
 
     def _refuse(self, kind: str) -> httpserver.Response:
         answer = forwarding.Refused(errors.ErrorKind(kind))
@@ -248,8 +293,9 @@
 
     # What becomes of sends.
 
-    def take_reply(self, number: int, reply: forwarding.Reply) -> None:
+    def take_reply(self, number: int, reply: backendclient.Outcome) -> None:
         """Take a whole reply; see `backendclient.Receiver`."""
+        assert isinstance(reply, forwarding.Reply)
         self._perform(self._forwarder.note_reply(trio.current_time(), number, reply))
 
     def take_failure(self, number: int, failure: forwarding.SendFailure) -> None:
@@ -264,8 +310,11 @@
             match action:
                 case forwarding.Send():
                     self._client.send(action)
+                case forwarding.Delegate():
+                    self._peers.send(action)
                 case forwarding.Cancel():
                     self._client.cancel(action.number)
+                    self._peers.cancel(action.number)
                 case forwarding.Respond():
                     waiting = self._waiting.get(action.exchange)
                     if waiting is not None:
@@ -310,8 +359,25 @@
             self._count_members()
 
     def _count_members(self) -> None:
-        count = self._members.count_sharing(trio.current_time())
+        now = trio.current_time()
+        count = self._members.count_sharing(now)
         self._forwarder.set_instances(count)
+        self._forwarder.set_peers(now, self._list_peers(now))
+
+    def _list_peers(self, now: float) -> list[backends.Entry]:
+        ready = self._members.list_ready(now)
+        return [
+            backends.Entry(
+                f"{one.name}/{one.incarnation}",
+                one.zone,
+                one.gossip_address,
+                one.zone,
+                max(1, int(BATCHES_PER_CORE * one.capacity)),
+                False,
+                0.0,
+            )
+            for one in addresses.choose_peers(ready, self._settings.zone)
+        ]
 
     def _update_readiness(self) -> None:
         ready = not self._stopping and self._forwarder.deployment is not None
@@ -346,6 +412,11 @@
                 listener = await httpserver.listen(address)
                 nursery.start_soon(httpserver.serve_listener, server, listener, nursery)
 
+    async def _serve_batches(self, nursery: trio.Nursery) -> None:
+        server = httpserver.Server(self._handle_batch, self._refuse, self._report_error)
+        listener = await httpserver.listen(self._settings.gossip_address)
+        nursery.start_soon(httpserver.serve_listener, server, listener, nursery)
+
     async def _answer_readiness(
         self, message: httpserver.Request
     ) -> httpserver.Response:
--- a/acacialatch/exchanges.py
+++ b/acacialatch/exchanges.py
@@ -3,7 +3,7 @@
 import dataclasses
 import math
 
-from acacialatch import backends, completion, deployment, forwarding
+from acacialatch import backends, completion, deployment, forwarding, merging
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,6 +38,8 @@
         The last failure that a server gave itself.
     lost : bool
         Whether no reply is to be hoped for.
+    delegated : bool
+        Whether another entry instance asks a server and has not replied.
     hedge_at : float
         When a second send is due.
     retry_at : float
@@ -52,6 +54,7 @@
     reply: forwarding.Reply | None = None
     failure: forwarding.Reply | None = None
     lost: bool = False
+    delegated: bool = False
     hedge_at: float = math.inf
     retry_at: float = math.inf
     trace: list[str] = dataclasses.field(default_factory=list)
@@ -62,9 +65,23 @@
         return self.lost or self.reply is not None
 
 
+@dataclasses.dataclass(slots=True)
+class Delegation:
+    """Shards of a request that another entry instance asks."""
+
+    number: int
+    peer: backends.Backend
+    legs: list[Leg]
+    started: float
+
+
 @dataclasses.dataclass(slots=True)
 class Exchange:
-    """One request of a caller from its arrival to its answer."""
+    """One request of a caller from its arrival to its answer.
+
+    A request that came as a batch from another entry instance ends at `gather_until`
+    at the latest, with the replies that are in.
+    """
 
     number: int
     request: forwarding.Request
@@ -76,6 +93,11 @@
     answered: bool = False
     hedges: int = 0
     retries: int = 0
+    batches: int = 0
+    gather_until: float | None = None
+    delegations: dict[int, Delegation] = dataclasses.field(default_factory=dict)
+    # Merged records of shards that other entry instances asked.
+    gathered: list[bytes] = dataclasses.field(default_factory=list)
     # Legs that are settled without a reply, and with one.
     lost: int = 0
     arrived: int = 0
@@ -87,6 +109,11 @@
         """Return whether a request that may have run may be sent again."""
         return self.route.kind is deployment.RequestKind.IDEMPOTENT
 
+    @property
+    def is_settled(self) -> bool:
+        """Return whether nothing more is expected of any leg."""
+        return self.arrived + self.lost == len(self.legs)
+
     @property
     def may_have_run(self) -> bool:
         """Return whether any backend server may have run a part of the request."""
@@ -107,6 +134,8 @@
     def next_time(self, now: float) -> float:
         """Return the time at which the exchange must be looked at again."""
         times = [self.deadline]
+        if self.gather_until is not None:
+            times.append(self.gather_until)
         target = self.route.target
         if isinstance(target, deployment.ShardTarget):
             answer_times = completion.answer_times(self.progress(target))
@@ -116,6 +145,27 @@
                 times += (leg.hedge_at, leg.retry_at)
         return min(times)
 
+    def gather(self, records_max: int) -> forwarding.Gathered:
+        """Return the reply to a batch with what is in."""
+        return forwarding.Gathered(
+            tuple(
+                (index, leg.reply.signature)
+                for index, leg in enumerate(self.legs)
+                if leg.reply is not None
+            ),
+            tuple(
+                forwarding.OpenShard(index, tuple(leg.tried), leg.runs > 0)
+                for index, leg in enumerate(self.legs)
+                if leg.reply is None
+            ),
+            self.merge(records_max),
+        )
+
+    def merge(self, records_max: int) -> bytes:
+        """Return the greatest records of the replies."""
+        bodies = [leg.reply.body for leg in self.legs if leg.reply is not None]
+        return merging.merge_records([*bodies, *self.gathered], records_max)
+
     def describe(self, now: float, outcome: str, instances: int) -> forwarding.Note:
         """Return the log line of the request when it has ended.
 
@@ -146,6 +196,7 @@
                 "shards": len(self.legs),
                 "hedges": self.hedges,
                 "retries": self.retries,
+                "batches": self.batches,
                 "instances": instances,
                 "unusual": unusual,
             },
--- a/acacialatch/forwarder.py
+++ b/acacialatch/forwarder.py
@@ -18,7 +18,7 @@
     exchanges,
     forwarding,
     latencies,
-    merging,
+    placement,
     resends,
 )
 
@@ -41,6 +41,13 @@
 """An answer leaves this long before the time at which the caller stops waiting."""
 
 
+HOP_S = 0.01
+"""Time in seconds for a batch to another entry instance and back."""
+
+PEER_CONNECTIONS_MAX = 4
+"""Idle connections kept to another entry instance."""
+
+
 class Budgets(typing.NamedTuple):
     """Bounds on repeated sends for each service, over all entry instances."""
 
@@ -68,7 +75,11 @@
         self, zone: str, budgets: Budgets, seed: int, started: float = -math.inf
     ):
         self._started = started
+        self._zone = zone
         self.backends = backends.BackendTable(zone)
+        # Other entry instances that take batches; the service is their zone.
+        self.peers = backends.BackendTable(zone)
+        self._delegations: dict[int, exchanges.Exchange] = {}
         self.deployment: deployment.Deployment | None = None
         self._routes = deployment.RouteTable(())
         self._budgets = budgets
@@ -96,6 +107,15 @@
         """Set how many entry instances share limits and budgets."""
         self._instances = max(1, count)
 
+    def set_peers(self, now: float, entries: typing.Iterable[backends.Entry]) -> None:
+        """Replace the other entry instances that take batches."""
+        present = set()
+        for entry in entries:
+            self.peers.put(now, entry)
+            present.add(entry.identity)
+        for identity in self.peers.list_identities() - present:
+            self.peers.remove(identity)
+
     def set_budgets(self, budgets: Budgets) -> None:
         """Change the bounds on repeated sends."""
         self._budgets = budgets
@@ -118,15 +138,10 @@
         """Take a request of a caller; return its number and what to do."""
         self._numbers += 1
         number = self._numbers
-        if self.deployment is None:
-            return number, self._refuse_new(
-                number, request, errors.ErrorKind.NO_CONFIGURATION
-            )
-        route = self._routes.find(request.host, request.path)
-        if route is None:
-            return number, self._refuse_new(
-                number, request, errors.ErrorKind.UNKNOWN_PATH
-            )
+        route = self._find_route(request)
+        if isinstance(route, errors.ErrorKind):
+            return number, self._refuse_new(number, request, route)
+        assert self.deployment is not None
         patience_s = route.timeout_s
         if request.patience_s is not None:
             patience_s = min(patience_s, request.patience_s - DEADLINE_MARGIN_S)
@@ -145,11 +160,59 @@
         actions: list[forwarding.Action] = []
         for leg in exchange.legs:
             self._find_resends(leg.service).note_request(now)
-            self._advance(now, exchange, leg, actions)
+        if exchange.may_repeat and isinstance(route.target, deployment.ShardTarget):
+            self._delegate_far(now, exchange, route.target, actions)
+        for leg in exchange.legs:
+            if not leg.delegated:
+                self._advance(now, exchange, leg, actions)
+        self._settle(now, exchange, actions)
+        self._schedule(now, exchange)
+        return number, actions
+
+    def accept_batch(
+        self, now: float, batch: forwarding.Batch
+    ) -> tuple[int, list[forwarding.Action]]:
+        """Take shards of a query from another entry instance.
+
+        Each shard is asked once; repeated sends are left to the instance that has the
+        whole query. Return the number of the request and what to do.
+        """
+        self._numbers += 1
+        number = self._numbers
+        route = self._find_route(batch.request)
+        if isinstance(route, errors.ErrorKind):
+            return number, self._refuse_new(number, batch.request, route)
+        assert self.deployment is not None
+        target = deployment.ShardTarget(batch.services, batch.records_max, 0.0)
+        exchange = exchanges.Exchange(
+            number,
+            batch.request,
+            route._replace(attempts_max=1, target=target),
+            self.deployment.version,
+            now,
+            now + batch.patience_s,
+            [exchanges.Leg(name) for name in batch.services],
+            gather_until=now + batch.wait_s,
+        )
+        self._exchanges[number] = exchange
+        actions: list[forwarding.Action] = []
+        for leg in exchange.legs:
+            if leg.service in self.deployment.services:
+                self._advance(now, exchange, leg, actions)
+            else:
+                self._lose(exchange, leg)
         self._settle(now, exchange, actions)
         self._schedule(now, exchange)
         return number, actions
 
+    def _find_route(
+        self, request: forwarding.Request
+    ) -> deployment.Route | errors.ErrorKind:
+        if self.deployment is None:
+            return errors.ErrorKind.NO_CONFIGURATION
+        route = self._routes.find(request.host, request.path)
+        return errors.ErrorKind.UNKNOWN_PATH if route is None else route
+
     def abandon(self, now: float, number: int) -> list[forwarding.Action]:
         """Drop a request whose caller has left."""
         exchange = self._exchanges.pop(number, None)
@@ -159,6 +222,7 @@
         actions: list[forwarding.Action] = []
         for leg in exchange.legs:
             self._cancel_open(leg, actions)
+        self._cancel_delegations(exchange, actions)
         actions.append(exchange.describe(now, "caller gone", self._instances))
         return actions
 
@@ -184,8 +248,7 @@
         else:
             leg.failure = reply
             attempt.backend.note_error(now)
-            if not leg.open:
-                self._advance(now, exchange, leg, actions)
+            self._resume(now, exchange, leg, actions)
         self._settle(now, exchange, actions)
         if not reply.is_success:
             # A success only removes times.
@@ -221,8 +284,56 @@
         else:
             backend.note_error(now)
         actions: list[forwarding.Action] = []
-        if not leg.open:
-            self._advance(now, exchange, leg, actions)
+        self._resume(now, exchange, leg, actions)
+        self._settle(now, exchange, actions)
+        self._schedule(now, exchange)
+        return actions
+
+    def note_batch(
+        self, now: float, number: int, reply: forwarding.Gathered
+    ) -> list[forwarding.Action]:
+        """Take the reply of another entry instance to a batch."""
+        exchange, delegation = self._end_delegation(number)
+        delegation.peer.note_success(now, 1.0)
+        if exchange.answered:
+            return []
+        if reply.arrived:
+            exchange.gathered.append(reply.body)
+        for index, signature in reply.arrived:
+            leg = delegation.legs[index]
+            if leg.reply is None:
+                exchange.arrived += 1
+            # The records of the shard are among the gathered ones.
+            leg.reply = forwarding.Reply(200, signature, (), b"")
+            self._linger(now, leg, exchange.route.name)
+        actions: list[forwarding.Action] = []
+        for shard in reply.open:
+            leg = delegation.legs[shard.index]
+            leg.tried.update(shard.tried)
+            leg.runs -= not shard.may_have_run
+            if not shard.tried and not leg.open:
+                leg.reached = False
+            self._resume(now, exchange, leg, actions)
+        self._settle(now, exchange, actions)
+        self._schedule(now, exchange)
+        return actions
+
+    def note_batch_failure(
+        self, now: float, number: int, failure: forwarding.SendFailure
+    ) -> list[forwarding.Action]:
+        """Take the failure of a batch that was sent to another entry instance."""
+        exchange, delegation = self._end_delegation(number)
+        self.counts[f"batches_{failure.kind.value}"] += 1
+        delegation.peer.note_unreachable(now)
+        if exchange.answered:
+            return []
+        actions: list[forwarding.Action] = []
+        for leg in delegation.legs:
+            if failure.kind in forwarding.NOT_RUN_KINDS:
+                leg.runs -= 1
+                if not leg.open:
+                    leg.reached = False
+            self._resume(now, exchange, leg, actions)
         self._settle(now, exchange, actions)
         self._schedule(now, exchange)
         return actions
@@ -315,7 +426,7 @@
         leg: exchanges.Leg,
         actions: list[forwarding.Action],
     ) -> None:
-        if leg.open:
+        if leg.open or leg.delegated:
             if now >= leg.hedge_at:
                 leg.hedge_at = math.inf
                 self._hedge(now, exchange, leg, actions)
@@ -344,6 +455,79 @@
         self.counts["hedges"] += 1
         self._send(now, exchange, leg, backend, True, actions)
 
+    def _delegate_far(
+        self,
+        now: float,
+        exchange: exchanges.Exchange,
+        target: deployment.ShardTarget,
+        actions: list[forwarding.Action],
+    ) -> None:
+        """Ask entry instances elsewhere for shards without a server in this zone."""
+        zones = self.peers.list_services()
+        self._random.shuffle(zones)
+        groups = placement.group_by_zone(
+            [self.backends.list_zones(now, leg.service) for leg in exchange.legs],
+            self._zone,
+            zones,
+        )
+        wait_s = self._hedge_delay(exchange.route)
+        for zone, indexes in groups.items():
+            peer = self.peers.choose(now, zone, (), lambda one: not one.is_stalled(now))
+            if peer is None:
+                continue
+            self._numbers += 1
+            legs = [exchange.legs[index] for index in indexes]
+            delegation = exchanges.Delegation(self._numbers, peer, legs, now)
+            peer.begin(delegation.number, now + wait_s + HOP_S)
+            exchange.delegations[delegation.number] = delegation
+            exchange.batches += 1
+            self._delegations[delegation.number] = exchange
+            self.counts["batches"] += 1
+            for leg in legs:
+                leg.delegated = leg.reached = True
+                leg.runs += 1
+                leg.hedge_at = now + wait_s + HOP_S
+            batch = forwarding.Batch(
+                exchange.request,
+                tuple(leg.service for leg in legs),
+                target.records_max,
+                wait_s,
+                exchange.deadline - now,
+            )
+            actions.append(
+                forwarding.Delegate(
+                    delegation.number, peer.entry.address, batch, PEER_CONNECTIONS_MAX
+                )
+            )
+
+    def _end_delegation(
+        self, number: int
+    ) -> tuple[exchanges.Exchange, exchanges.Delegation]:
+        exchange = self._delegations.pop(number)
+        delegation = exchange.delegations.pop(number)
+        delegation.peer.end(number)
+        for leg in delegation.legs:
+            leg.delegated = False
+        return exchange, delegation
+
+    def _resume(
+        self,
+        now: float,
+        exchange: exchanges.Exchange,
+        leg: exchanges.Leg,
+        actions: list[forwarding.Action],
+    ) -> None:
+        """Go on with a leg after a send or a batch that did not settle it."""
+        if not (leg.is_settled or leg.open or leg.delegated):
+            self._advance(now, exchange, leg, actions)
+
+    def _cancel_delegations(
+        self, exchange: exchanges.Exchange, actions: list[forwarding.Action]
+    ) -> None:
+        for number in list(exchange.delegations):
+            self._end_delegation(number)
+            actions.append(forwarding.Cancel(number))
+
     def _advance(
         self,
         now: float,
@@ -495,18 +679,22 @@
         if exchange.answered:
             return
         target = exchange.route.target
+        if exchange.gather_until is not None:
+            assert isinstance(target, deployment.ShardTarget)
+            if exchange.is_settled or now >= exchange.gather_until:
+                answer = exchange.gather(target.records_max)
+                self._answer(now, exchange, answer, actions)
+            return
         if not isinstance(target, deployment.ShardTarget):
             self._settle_single(now, exchange, actions)
             return
         verdict = completion.decide(now, exchange.progress(target))
         if verdict is completion.Verdict.ANSWER:
             replies = [leg.reply for leg in exchange.legs if leg.reply is not None]
-            answer = forwarding.Merged(
+            answer: forwarding.Answer = forwarding.Merged(
                 tuple(reply.signature for reply in replies),
                 len(exchange.legs) - len(replies),
-                merging.merge_records(
-                    (reply.body for reply in replies), target.records_max
-                ),
+                exchange.merge(target.records_max),
             )
             self._answer(now, exchange, answer, actions)
         elif verdict is completion.Verdict.GIVE_UP:
@@ -557,13 +745,20 @@
         exchange.answered = True
         self._exchanges.pop(exchange.number, None)
         refused = isinstance(answer, forwarding.Refused)
+        if refused:
+            self._cancel_delegations(exchange, actions)
         for leg in exchange.legs:
             if refused:
                 self._cancel_open(leg, actions)
             else:
                 self._linger(now, leg, exchange.route.name)
         actions.append(forwarding.Respond(exchange.number, answer))
-        outcome = answer.kind.value if refused else "answered"
+        if isinstance(answer, forwarding.Refused):
+            outcome = answer.kind.value
+        elif isinstance(answer, forwarding.Gathered):
+            outcome = "gathered"
+        else:
+            outcome = "answered"
         self.counts[outcome] += 1
         actions.append(exchange.describe(now, outcome, self._instances))
 
--- a/acacialatch/forwarding.py
+++ b/acacialatch/forwarding.py
@@ -121,6 +121,94 @@
     connections_max: int
 
 
+class Batch(typing.NamedTuple):
+    """Part of a query that another entry instance asks near the servers.
+
+    Attributes
+    ----------
+    request : Request
+        What to send to each shard.
+    services : tuple of str
+        The shards.
+    records_max : int
+        Most records of the merged reply.
+    wait_s : float
+        Time after which the replies that are in are returned.
+    patience_s : float
+        How long the caller waits.
+    """
+
+    request: Request
+    services: tuple[str, ...]
+    records_max: int
+    wait_s: float
+    patience_s: float
+
+
+class Delegate(typing.NamedTuple):
+    """Send a batch to another entry instance.
+
+    Attributes
+    ----------
+    number : int
+        Identifies the batch among the sends of this process.
+    address : str
+        Address of the entry instance.
+    batch : Batch
+        What to send.
+    connections_max : int
+        Most idle connections to keep to it.
+    needs_fresh : bool
+        Whether the connection must be known to work.
+    """
+
+    number: int
+    address: str
+    batch: Batch
+    connections_max: int
+    needs_fresh: bool = False
+
+
+Outgoing = Send | Delegate
+"""What is sent over a connection of this process."""
+
+
+class OpenShard(typing.NamedTuple):
+    """A shard of a batch without a reply.
+
+    Attributes
+    ----------
+    index : int
+        Its place in the batch.
+    tried : tuple of str
+        Identities of servers that were asked.
+    may_have_run : bool
+        Whether any of them may have run the request.
+    """
+
+    index: int
+    tried: tuple[str, ...]
+    may_have_run: bool
+
+
+class Gathered(typing.NamedTuple):
+    """Reply to a batch.
+
+    Attributes
+    ----------
+    arrived : tuple of (int, str)
+        Shards by their place in the batch, with the signatures of their replies.
+    open : tuple of OpenShard
+        The other shards.
+    body : bytes
+        Merged records of the shards that arrived.
+    """
+
+    arrived: tuple[tuple[int, str], ...]
+    open: tuple[OpenShard, ...]
+    body: bytes
+
+
 class Cancel(typing.NamedTuple):
     """Give up a send; its connection is closed unless the reply is in already."""
 
@@ -156,7 +244,7 @@
     retry_after_s: float = 0.0
 
 
-Answer = Passed | Merged | Refused
+Answer = Passed | Merged | Gathered | Refused
 
 
 class Respond(typing.NamedTuple):
@@ -174,4 +262,4 @@
     values: dict[str, typing.Any]
 
 
-Action = Send | Cancel | Respond | Note
+Action = Send | Delegate | Cancel | Respond | Note
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -306,3 +306,217 @@
             world.reply(number)
             sent += 1
     assert sent <= 2.0 * 4.0 / 2 + 1
+
+
+class FarWorld(World):
+    """A forwarder whose shards all have their servers in another zone."""
+
+    def __init__(self, peers=1, zones=("nadi",), **values):
+        super().__init__(replicas=0, **values)
+        self.batches = {}
+        for service in SHARDS:
+            for index, zone in enumerate(zones):
+                entry = make_entry(f"{service}-{index}", service, zone)
+                self.core.backends.put(self.now, entry)
+        self.core.set_peers(
+            self.now, [make_entry(f"peer-{n}", "nadi", "nadi") for n in range(peers)]
+        )
+
+    def take(self, actions):
+        for action in actions:
+            if isinstance(action, forwarding.Delegate):
+                self.batches[action.number] = action
+        super().take(
+            action
+            for action in actions
+            if not isinstance(action, forwarding.Delegate)
+            and not (
+                isinstance(action, forwarding.Cancel)
+                and self.batches.pop(action.number, None)
+            )
+        )
+
+    def gather(self, number, arrived, body=b"", tried=("shard-x",), run=True):
+        services = self.batches.pop(number).batch.services
+        reply = forwarding.Gathered(
+            tuple((index, f"s-{services[index]}") for index in arrived),
+            tuple(
+                forwarding.OpenShard(index, tried, run)
+                for index in range(len(services))
+                if index not in arrived
+            ),
+            body,
+        )
+        self.take(self.core.note_batch(self.now, number, reply))
+
+
+def test_far_shards_are_asked_through_an_instance_of_their_zone():
+    """Requests to each shard in another zone once were the largest cost."""
+    world = FarWorld()
+    number = world.ask("/page/1")
+    (delegate,) = world.batches.values()
+    assert (delegate.batch.services, world.sends) == (SHARDS, {})
+    assert 0 < delegate.batch.wait_s < PAGE.objective_s
+    world.gather(delegate.number, range(4), b"b" * 16 + b"a" * 16)
+    answer = world.answers[number]
+    assert answer.missing == 0
+    assert sorted(answer.signatures) == [f"s-{name}" for name in SHARDS]
+    assert answer.body == b"b" * 16 + b"a" * 16
+
+
+def test_near_shards_are_asked_directly():
+    world = FarWorld(zones=("nadi", "ba"))
+    world.ask("/page/1")
+    assert (len(world.batches), len(world.sends)) == (0, 4)
+
+
+def test_requests_that_may_not_be_repeated_are_asked_directly():
+    route = PAGE._replace(kind=deployment.RequestKind.NON_IDEMPOTENT)
+    world = FarWorld(deployed=DEPLOYED._replace(routes=(route,)))
+    world.ask("/page/1")
+    assert world.batches == {}
+
+
+def test_shard_that_a_batch_left_open_is_sent_to_another_server():
+    world = FarWorld(zones=("nadi", "suva"))
+    number = world.ask("/page/1")
+    (batch,) = world.batches
+    world.gather(batch, [0, 1, 2], b"c" * 16, tried=("shard-3-0",))
+    (send,) = world.sends
+    assert world.sends[send].identity == "shard-3-1"
+    assert world.core.counts["retries"] == 1
+    world.reply(send, make_reply(b"d" * 16))
+    assert world.answers[number].body == b"d" * 16 + b"c" * 16
+
+
+def test_shard_that_no_server_got_takes_no_resend():
+    world = FarWorld()
+    world.ask("/page/1")
+    world.gather(*world.batches, [0, 1, 2], tried=(), run=False)
+    assert (len(world.sends), world.core.counts["retries"]) == (1, 0)
+
+
+@pytest.mark.parametrize(
+    ("kind", "retries"),
+    [
+        (forwarding.FailureKind.NOT_SENT, 0),
+        (forwarding.FailureKind.SHED, 0),
+        (forwarding.FailureKind.CUT, 4),
+    ],
+)
+def test_failed_batch_is_sent_directly(kind, retries):
+    world = FarWorld()
+    number = world.ask("/page/1")
+    (batch,) = world.batches
+    world.batches.clear()
+    failure = forwarding.SendFailure(kind)
+    world.take(world.core.note_batch_failure(world.now, batch, failure))
+    assert world.core.counts["retries"] == retries
+    for send in list(world.sends):
+        world.reply(send)
+    assert world.answers[number].missing == 0
+
+
+def test_silent_instance_is_replaced_before_the_objective():
+    """Guards against queries that end late when an entry instance freezes."""
+    world = FarWorld(zones=("nadi", "suva"))
+    number = world.ask("/page/1")
+    world.walk(world.now + 0.5 * PAGE.objective_s)
+    assert len(world.sends) == 4
+    for send in list(world.sends):
+        world.reply(send, make_reply(b"e" * 16))
+    assert world.answers[number].missing == 0
+    # The next query does not wait for it.
+    world.ask("/page/2", identity="r-2")
+    assert (len(world.batches), len(world.sends)) == (1, 4)
+
+
+def test_late_batch_replaces_replies_to_direct_sends():
+    """Guards against records of a shard that are merged twice."""
+    world = FarWorld(zones=("nadi", "suva"))
+    number = world.ask("/page/1")
+    (batch,) = world.batches
+    world.walk(world.now + 0.5 * PAGE.objective_s)
+    for send in list(world.sends)[:2]:
+        world.reply(send, make_reply(b"e" * 16))
+    world.gather(batch, range(4), b"e" * 16)
+    answer = world.answers[number]
+    assert (answer.missing, answer.body) == (0, b"e" * 16)
+    assert sorted(answer.signatures) == [f"s-{name}" for name in SHARDS]
+
+
+def test_batch_without_budget_for_resends_waits_for_the_reply():
+    budgets = forwarder.Budgets(0.0, 0.0, 10.0)
+    world = FarWorld(zones=("nadi", "suva"), budgets=budgets)
+    number = world.ask("/page/1")
+    world.walk(world.now + 0.6 * PAGE.objective_s)
+    assert (world.sends, world.answers) == ({}, {})
+    world.gather(*world.batches, range(4))
+    assert world.answers[number].missing == 0
+
+
+def test_caller_that_leaves_cancels_its_batches():
+    world = FarWorld()
+    number = world.ask("/page/1")
+    world.take(world.core.abandon(world.now, number))
+    assert world.batches == {}
+
+
+def test_reply_to_a_batch_of_an_answered_request_is_dropped():
+    world = FarWorld(zones=("nadi", "suva"))
+    number = world.ask("/page/1")
+    (batch,) = world.batches
+    world.walk(world.now + 0.5 * PAGE.objective_s)
+    for send in list(world.sends):
+        world.reply(send)
+    assert number in world.answers
+    world.gather(batch, range(4), b"f" * 16)
+    assert len(world.answers) == 1
+
+
+def take_batch(world, services=SHARDS, wait_s=0.05):
+    batch = forwarding.Batch(make_request("/page/1"), services, 3, wait_s, 1.0)
+    number, actions = world.core.accept_batch(world.now, batch)
+    world.take(actions)
+    return number
+
+
+def test_batch_is_gathered_when_all_shards_are_in():
+    world = World()
+    number = take_batch(world)
+    assert len(world.sends) == 4
+    for send in list(world.sends):
+        identity = world.sends[send].identity
+        world.reply(send, make_reply(identity[-3:-2].encode() * 16, signature=identity))
+    gathered = world.answers[number]
+    assert [index for index, _ in gathered.arrived] == [0, 1, 2, 3]
+    assert (gathered.open, len(gathered.body)) == ((), 48)
+
+
+def test_batch_is_gathered_in_time_and_sends_nothing_twice():
+    world = World()
+    number = take_batch(world)
+    (failing,) = world.find("shard-1")
+    tried = world.sends[failing].identity
+    world.fail(failing, forwarding.FailureKind.CUT)
+    world.reply(*world.find("shard-0"))
+    world.walk(world.now + 0.05)
+    gathered = world.answers[number]
+    assert [index for index, _ in gathered.arrived] == [0]
+    assert forwarding.OpenShard(1, (tried,), True) in gathered.open
+    assert len(gathered.open) == 3
+    assert world.core.counts["retries"] == world.core.counts["hedges"] == 0
+
+
+def test_batch_with_an_unknown_shard_gathers_the_others():
+    world = World()
+    number = take_batch(world, ("shard-0", "other"))
+    world.reply(*world.find("shard-0"))
+    gathered = world.answers[number]
+    assert gathered.open == (forwarding.OpenShard(1, (), False),)
+
+
+def test_batch_before_any_deployment_is_refused():
+    world = World(deployed=None)
+    answer = world.answers[take_batch(world)]
+    assert answer.kind is errors.ErrorKind.NO_CONFIGURATION
