--- a/acacialatch/exchanges.py
+++ b/acacialatch/exchanges.py
@@ -154,7 +154,7 @@
                 if leg.reply is not None
             ),
             tuple(
-                forwarding.OpenShard(index, tuple(leg.tried), leg.runs > 0)
+                forwarding.OpenShard(index, tuple(leg.tried), leg.reached, leg.runs > 0)
                 for index, leg in enumerate(self.legs)
                 if leg.reply is None
             ),
--- a/acacialatch/forwarder.py
+++ b/acacialatch/forwarder.py
@@ -311,8 +311,8 @@
             leg = delegation.legs[shard.index]
             leg.tried.update(shard.tried)
             leg.runs -= not shard.may_have_run
-            if not shard.tried and not leg.open:
-                leg.reached = False
+            if not leg.open:
+                leg.reached = shard.reached
             self._resume(now, exchange, leg, actions)
         self._settle(now, exchange, actions)
         self._schedule(now, exchange)
--- a/acacialatch/forwarding.py
+++ b/acacialatch/forwarding.py
@@ -182,12 +182,15 @@
         Its place in the batch.
     tried : tuple of str
         Identities of servers that were asked.
+    reached : bool
+        Whether the request may have arrived anywhere, so that the next send is a repeat.
     may_have_run : bool
-        Whether any of them may have run the request.
+        Whether any server may have run the request.
     """
 
     index: int
     tried: tuple[str, ...]
+    reached: bool
     may_have_run: bool
 
 
--- a/tests/test_batchlink.py
+++ b/tests/test_batchlink.py
@@ -17,7 +17,7 @@
 BATCH = forwarding.Batch(REQUEST, ("shard-0", "shard-1"), 3, 0.05, 0.4)
 SEND = forwarding.Delegate(1, "10.1.0.9:7380", BATCH, 4)
 GATHERED = forwarding.Gathered(
-    ((1, "s1"),), (forwarding.OpenShard(0, ("i-1",), True),), b"r" * 16
+    ((1, "s1"),), (forwarding.OpenShard(0, ("i-1",), True, True),), b"r" * 16
 )
 
 
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -336,12 +336,14 @@
             )
         )
 
-    def gather(self, number, arrived, body=b"", tried=("shard-x",), run=True):
+    def gather(
+        self, number, arrived, body=b"", tried=("shard-x",), reached=True, run=True
+    ):
         services = self.batches.pop(number).batch.services
         reply = forwarding.Gathered(
             tuple((index, f"s-{services[index]}") for index in arrived),
             tuple(
-                forwarding.OpenShard(index, tried, run)
+                forwarding.OpenShard(index, tried, reached, run)
                 for index in range(len(services))
                 if index not in arrived
             ),
@@ -389,10 +391,25 @@
     assert world.answers[number].body == b"d" * 16 + b"c" * 16
 
 
+def test_shard_that_a_server_shed_takes_a_resend():
+    """On pbc-search scale-1 sheds in batches once overran the budget of resends."""
+    world = World()
+    number = take_batch(world, ("shard-0",))
+    while world.sends:
+        world.fail(*world.sends, forwarding.FailureKind.SHED)
+    world.walk(world.now + 0.05)
+    (shard,) = world.answers[number].open
+    assert (shard.reached, shard.may_have_run) == (True, False)
+    origin = FarWorld()
+    origin.ask("/page/1")
+    origin.gather(*origin.batches, [0, 1, 2], tried=(), reached=True, run=False)
+    assert origin.core.counts["retries"] == 1
+
+
 def test_shard_that_no_server_got_takes_no_resend():
     world = FarWorld()
     world.ask("/page/1")
-    world.gather(*world.batches, [0, 1, 2], tried=(), run=False)
+    world.gather(*world.batches, [0, 1, 2], tried=(), reached=False, run=False)
     assert (len(world.sends), world.core.counts["retries"]) == (1, 0)
 
 
@@ -503,7 +520,7 @@
     world.walk(world.now + 0.05)
     gathered = world.answers[number]
     assert [index for index, _ in gathered.arrived] == [0]
-    assert forwarding.OpenShard(1, (tried,), True) in gathered.open
+    assert forwarding.OpenShard(1, (tried,), True, True) in gathered.open
     assert len(gathered.open) == 3
     assert world.core.counts["retries"] == world.core.counts["hedges"] == 0
 
@@ -513,7 +530,7 @@
     number = take_batch(world, ("shard-0", "other"))
     world.reply(*world.find("shard-0"))
     gathered = world.answers[number]
-    assert gathered.open == (forwarding.OpenShard(1, (), False),)
+    assert gathered.open == (forwarding.OpenShard(1, (), False, False),)
 
 
 def test_batch_before_any_deployment_is_refused():
