--- a/acacialatch/batchlink.py
+++ b/acacialatch/batchlink.py
@@ -4,9 +4,13 @@
 
 from acacialatch import backendclient, errors, forwarding, httpserver
 
-PATH = "/batch"
+BATCH_PATH = "/batch"
+REST_PATH = "/batch/rest"
 _ENCODER = msgspec.msgpack.Encoder()
-_BATCHES = msgspec.msgpack.Decoder(forwarding.Batch)
+_DECODERS = {
+    BATCH_PATH: msgspec.msgpack.Decoder(forwarding.Batch),
+    REST_PATH: msgspec.msgpack.Decoder(forwarding.Continuation),
+}
 _REPLIES = msgspec.msgpack.Decoder(forwarding.Gathered)
 
 
@@ -16,8 +20,10 @@
     def encode(self, send: forwarding.Outgoing) -> bytes:
         """Return the bytes of a request; see `backendclient.BackendProtocol`."""
         assert isinstance(send, forwarding.Delegate)
-        body = _ENCODER.encode(send.batch)
-        head = f"POST {PATH} HTTP/1.1\r\nhost: {send.address}\r\n"
+        body = _ENCODER.encode(send.message)
+        is_batch = isinstance(send.message, forwarding.Batch)
+        path = BATCH_PATH if is_batch else REST_PATH
+        head = f"POST {path} HTTP/1.1\r\nhost: {send.address}\r\n"
         return f"{head}content-length: {len(body)}\r\n\r\n".encode() + body
 
     def decode(
@@ -40,18 +46,27 @@
             return forwarding.SendFailure(forwarding.FailureKind.GARBLED, detail)
         indexes = [index for index, _ in reply.arrived]
         indexes += [shard.index for shard in reply.open]
-        if sorted(indexes) != list(range(len(send.batch.services))):
+        if not _are_places(indexes, send.shards):
             detail = "reply to other shards"
             return forwarding.SendFailure(forwarding.FailureKind.GARBLED, detail)
         return reply
 
 
-def decode_batch(message: httpserver.Request) -> forwarding.Batch | None:
-    """Return the batch of a request, or None if it is not one."""
-    if (message.method, message.path) != ("POST", PATH):
+def _are_places(indexes: list[int], shards: int) -> bool:
+    """Return whether the indexes are different places in a batch."""
+    in_range = all(0 <= index < shards for index in indexes)
+    return in_range and len(set(indexes)) == len(indexes)
+
+
+def decode_request(
+    message: httpserver.Request,
+) -> forwarding.Batch | forwarding.Continuation | None:
+    """Return the message of another entry instance, or None if it is malformed."""
+    decoder = _DECODERS.get(message.path)
+    if decoder is None or message.method != "POST":
         return None
     try:
-        return _BATCHES.decode(message.body)
+        return decoder.decode(message.body)
     except msgspec.DecodeError:
         return None
 
--- a/acacialatch/entrance.py
+++ b/acacialatch/entrance.py
@@ -242,12 +242,16 @@
     # Requests of callers.
 
     async def _handle_batch(self, message: httpserver.Request) -> httpserver.Response:
-        batch = batchlink.decode_batch(message)
-        if batch is None:
+        found = batchlink.decode_request(message)
+        if found is None:
             logs.write(logs.Part.REQUEST, "batch is malformed", peer=message.peer)
             return self._refuse(errors.ErrorKind.MALFORMED_REQUEST.value)
         now = trio.current_time()
-        answer = await self._wait_for_answer(*self._forwarder.accept_batch(now, batch))
+        if isinstance(found, forwarding.Batch):
+            number, actions = self._forwarder.accept_batch(now, found)
+        else:
+            number, actions = self._forwarder.accept_continuation(now, found)
+        answer = await self._wait_for_answer(number, actions)
         return batchlink.encode_answer(answer)
 
     async def _handle(self, message: httpserver.Request) -> httpserver.Response:
--- a/acacialatch/exchanges.py
+++ b/acacialatch/exchanges.py
@@ -39,7 +39,9 @@
     lost : bool
         Whether no reply is to be hoped for.
     delegated : bool
-        Whether another entry instance asks a server and has not replied.
+        Whether another entry instance asks a server and may still reply.
+    told : bool
+        Whether the reply was returned to the entry instance that sent the batch.
     hedge_at : float
         When a second send is due.
     retry_at : float
@@ -55,6 +57,7 @@
     failure: forwarding.Reply | None = None
     lost: bool = False
     delegated: bool = False
+    told: bool = False
     hedge_at: float = math.inf
     retry_at: float = math.inf
     trace: list[str] = dataclasses.field(default_factory=list)
@@ -67,20 +70,30 @@
 
 @dataclasses.dataclass(slots=True)
 class Delegation:
-    """Shards of a request that another entry instance asks."""
+    """Shards of a request that another entry instance asks.
+
+    Attributes
+    ----------
+    peer : backends.Backend
+        The entry instance.
+    legs : list of Leg
+        The shards, in the order of the batch.
+    confirmed : bool
+        Whether it has replied, so that it has got the batch.
+    """
 
-    number: int
     peer: backends.Backend
     legs: list[Leg]
-    started: float
+    confirmed: bool = False
 
 
 @dataclasses.dataclass(slots=True)
 class Exchange:
     """One request of a caller from its arrival to its answer.
 
-    A request that came as a batch from another entry instance ends at `gather_until`
-    at the latest, with the replies that are in.
+    A request that came as a batch from another entry instance returns the replies that
+    are in at `gather_until`. While it is parked, it ends at that time unless the other
+    instance asks for the rest.
     """
 
     number: int
@@ -95,6 +108,7 @@
     retries: int = 0
     batches: int = 0
     gather_until: float | None = None
+    parked: bool = False
     delegations: dict[int, Delegation] = dataclasses.field(default_factory=dict)
     # Merged records of shards that other entry instances asked.
     gathered: list[bytes] = dataclasses.field(default_factory=list)
@@ -146,19 +160,29 @@
         return min(times)
 
     def gather(self, records_max: int) -> forwarding.Gathered:
-        """Return the reply to a batch with what is in."""
+        """Return the reply to a batch with what has come in since the last one."""
+        arrived = []
+        bodies = []
+        for index, leg in enumerate(self.legs):
+            if leg.reply is not None and not leg.told:
+                leg.told = True
+                arrived.append((index, leg.reply.signature))
+                bodies.append(leg.reply.body)
         return forwarding.Gathered(
+            self.number,
+            tuple(arrived),
             tuple(
-                (index, leg.reply.signature)
-                for index, leg in enumerate(self.legs)
-                if leg.reply is not None
-            ),
-            tuple(
-                forwarding.OpenShard(index, tuple(leg.tried), leg.reached, leg.runs > 0)
+                forwarding.OpenShard(
+                    index,
+                    tuple(leg.tried),
+                    leg.reached,
+                    leg.runs > 0,
+                    bool(leg.open),
+                )
                 for index, leg in enumerate(self.legs)
                 if leg.reply is None
             ),
-            self.merge(records_max),
+            merging.merge_records(bodies, records_max),
         )
 
     def merge(self, records_max: int) -> bytes:
--- a/acacialatch/forwarder.py
+++ b/acacialatch/forwarder.py
@@ -205,6 +205,26 @@
         self._schedule(now, exchange)
         return number, actions
 
+    def accept_continuation(
+        self, now: float, rest: forwarding.Continuation
+    ) -> tuple[int, list[forwarding.Action]]:
+        """Take a question for the rest of a batch, from the instance that sent it."""
+        exchange = self._exchanges.get(rest.batch)
+        if (
+            exchange is None
+            or not exchange.parked
+            or exchange.request.identity != rest.identity
+        ):
+            self._numbers += 1
+            refused = forwarding.Refused(errors.ErrorKind.OUTCOME_UNKNOWN)
+            return self._numbers, [forwarding.Respond(self._numbers, refused)]
+        exchange.parked = False
+        exchange.gather_until = now + rest.wait_s
+        actions: list[forwarding.Action] = []
+        self._settle(now, exchange, actions)
+        self._schedule(now, exchange)
+        return exchange.number, actions
+
     def _find_route(
         self, request: forwarding.Request
     ) -> deployment.Route | errors.ErrorKind:
@@ -215,15 +235,21 @@
 
     def abandon(self, now: float, number: int) -> list[forwarding.Action]:
         """Drop a request whose caller has left."""
-        exchange = self._exchanges.pop(number, None)
-        if exchange is None:
-            return []
-        self.counts["caller_gone"] += 1
+        exchange = self._exchanges.get(number)
+        return [] if exchange is None else self._drop(now, exchange, "caller gone")
+
+    def _drop(
+        self, now: float, exchange: exchanges.Exchange, outcome: str
+    ) -> list[forwarding.Action]:
+        """End a request without an answer."""
+        del self._exchanges[exchange.number]
+        exchange.answered = True
+        self.counts[outcome.replace(" ", "_")] += 1
         actions: list[forwarding.Action] = []
         for leg in exchange.legs:
             self._cancel_open(leg, actions)
         self._cancel_delegations(exchange, actions)
-        actions.append(exchange.describe(now, "caller gone", self._instances))
+        actions.append(exchange.describe(now, outcome, self._instances))
         return actions
 
     def note_reply(
@@ -295,25 +321,40 @@
         """Take the reply of another entry instance to a batch."""
         exchange, delegation = self._end_delegation(number)
         delegation.peer.note_success(now, 1.0)
+        delegation.confirmed = True
         if exchange.answered:
             return []
+        actions: list[forwarding.Action] = []
         if reply.arrived:
             exchange.gathered.append(reply.body)
         for index, signature in reply.arrived:
             leg = delegation.legs[index]
             if leg.reply is None:
                 exchange.arrived += 1
+            leg.delegated = False
             # The records of the shard are among the gathered ones.
             leg.reply = forwarding.Reply(200, signature, (), b"")
             self._linger(now, leg, exchange.route.name)
-        actions: list[forwarding.Action] = []
+        pending = False
         for shard in reply.open:
             leg = delegation.legs[shard.index]
+            if leg.reply is not None or not leg.delegated:
+                # Another server replied, or an earlier reply said that it has ended.
+                leg.delegated = False
+                continue
             leg.tried.update(shard.tried)
+            leg.delegated = shard.pending
+            if shard.pending:
+                pending = True
+                leg.hedge_at = min(leg.hedge_at, now)
+                self._advance_due(now, exchange, leg, actions)
+                continue
             leg.runs -= not shard.may_have_run
             if not leg.open:
                 leg.reached = shard.reached
             self._resume(now, exchange, leg, actions)
+        if pending:
+            self._ask_for_rest(now, exchange, delegation, reply.batch, actions)
         self._settle(now, exchange, actions)
         self._schedule(now, exchange)
         return actions
@@ -328,8 +369,12 @@
         if exchange.answered:
             return []
         actions: list[forwarding.Action] = []
+        not_run = failure.kind in forwarding.NOT_RUN_KINDS and not delegation.confirmed
         for leg in delegation.legs:
-            if failure.kind in forwarding.NOT_RUN_KINDS:
+            if not leg.delegated:
+                continue
+            leg.delegated = False
+            if not_run:
                 leg.runs -= 1
                 if not leg.open:
                     leg.reached = False
@@ -475,13 +520,8 @@
             peer = self.peers.choose(now, zone, (), lambda one: not one.is_stalled(now))
             if peer is None:
                 continue
-            self._numbers += 1
             legs = [exchange.legs[index] for index in indexes]
-            delegation = exchanges.Delegation(self._numbers, peer, legs, now)
-            peer.begin(delegation.number, now + wait_s + HOP_S)
-            exchange.delegations[delegation.number] = delegation
             exchange.batches += 1
-            self._delegations[delegation.number] = exchange
             self.counts["batches"] += 1
             for leg in legs:
                 leg.delegated = leg.reached = True
@@ -494,11 +534,48 @@
                 wait_s,
                 exchange.deadline - now,
             )
-            actions.append(
-                forwarding.Delegate(
-                    delegation.number, peer.entry.address, batch, PEER_CONNECTIONS_MAX
-                )
+            delegation = exchanges.Delegation(peer, legs)
+            self._delegate(now, exchange, delegation, batch, actions)
+
+    def _ask_for_rest(
+        self,
+        now: float,
+        exchange: exchanges.Exchange,
+        delegation: exchanges.Delegation,
+        batch: int,
+        actions: list[forwarding.Action],
+    ) -> None:
+        """Ask for replies that a batch has not returned, in time for the answer."""
+        target = exchange.route.target
+        assert isinstance(target, deployment.ShardTarget)
+        times = completion.answer_times(exchange.progress(target))
+        until = min([at for at in times if at - HOP_S > now], default=exchange.deadline)
+        wait_s = max(0.0, min(until, exchange.deadline) - HOP_S - now)
+        rest = forwarding.Continuation(batch, exchange.request.identity, wait_s)
+        self._delegate(now, exchange, delegation, rest, actions)
+
+    def _delegate(
+        self,
+        now: float,
+        exchange: exchanges.Exchange,
+        delegation: exchanges.Delegation,
+        message: forwarding.Batch | forwarding.Continuation,
+        actions: list[forwarding.Action],
+    ) -> None:
+        self._numbers += 1
+        number = self._numbers
+        delegation.peer.begin(number, now + message.wait_s + HOP_S)
+        exchange.delegations[number] = delegation
+        self._delegations[number] = exchange
+        actions.append(
+            forwarding.Delegate(
+                number,
+                delegation.peer.entry.address,
+                message,
+                len(delegation.legs),
+                PEER_CONNECTIONS_MAX,
             )
+        )
 
     def _end_delegation(
         self, number: int
@@ -506,8 +583,6 @@
         exchange = self._delegations.pop(number)
         delegation = exchange.delegations.pop(number)
         delegation.peer.end(number)
-        for leg in delegation.legs:
-            leg.delegated = False
         return exchange, delegation
 
     def _resume(
@@ -525,7 +600,9 @@
         self, exchange: exchanges.Exchange, actions: list[forwarding.Action]
     ) -> None:
         for number in list(exchange.delegations):
-            self._end_delegation(number)
+            _, delegation = self._end_delegation(number)
+            for leg in delegation.legs:
+                leg.delegated = False
             actions.append(forwarding.Cancel(number))
 
     def _advance(
@@ -680,10 +757,7 @@
             return
         target = exchange.route.target
         if exchange.gather_until is not None:
-            assert isinstance(target, deployment.ShardTarget)
-            if exchange.is_settled or now >= exchange.gather_until:
-                answer = exchange.gather(target.records_max)
-                self._answer(now, exchange, answer, actions)
+            self._settle_batch(now, exchange, actions)
             return
         if not isinstance(target, deployment.ShardTarget):
             self._settle_single(now, exchange, actions)
@@ -700,6 +774,29 @@
         elif verdict is completion.Verdict.GIVE_UP:
             self._give_up(now, exchange, errors.ErrorKind.COVERAGE_BELOW_FLOOR, actions)
 
+    def _settle_batch(
+        self,
+        now: float,
+        exchange: exchanges.Exchange,
+        actions: list[forwarding.Action],
+    ) -> None:
+        """Return what is in of a batch if that is due."""
+        target = exchange.route.target
+        assert isinstance(target, deployment.ShardTarget)
+        assert exchange.gather_until is not None
+        due = now >= min(exchange.gather_until, exchange.deadline)
+        if exchange.parked:
+            if due:
+                actions += self._drop(now, exchange, "rest not asked for")
+        elif exchange.is_settled or due:
+            reply = exchange.gather(target.records_max)
+            if any(shard.pending for shard in reply.open):
+                exchange.parked = True
+                exchange.gather_until = now + LINGER_S
+                actions.append(forwarding.Respond(exchange.number, reply))
+            else:
+                self._answer(now, exchange, reply, actions)
+
     def _settle_single(
         self,
         now: float,
--- a/acacialatch/forwarding.py
+++ b/acacialatch/forwarding.py
@@ -145,17 +145,37 @@
     patience_s: float
 
 
+class Continuation(typing.NamedTuple):
+    """Ask for the replies to a batch that were not in yet.
+
+    Attributes
+    ----------
+    batch : int
+        Number from the last reply to the batch.
+    identity : str
+        Identifier of the request.
+    wait_s : float
+        Time after which the replies that are in are returned.
+    """
+
+    batch: int
+    identity: str
+    wait_s: float
+
+
 class Delegate(typing.NamedTuple):
-    """Send a batch to another entry instance.
+    """Send a batch, or a question for the rest of one, to another entry instance.
 
     Attributes
     ----------
     number : int
-        Identifies the batch among the sends of this process.
+        Identifies it among the sends of this process.
     address : str
         Address of the entry instance.
-    batch : Batch
+    message : Batch or Continuation
         What to send.
+    shards : int
+        Shards of the batch.
     connections_max : int
         Most idle connections to keep to it.
     needs_fresh : bool
@@ -164,7 +184,8 @@
 
     number: int
     address: str
-    batch: Batch
+    message: Batch | Continuation
+    shards: int
     connections_max: int
     needs_fresh: bool = False
 
@@ -183,15 +204,18 @@
     tried : tuple of str
         Identities of servers that were asked.
     reached : bool
-        Whether the request may have arrived anywhere, so that the next send is a repeat.
+        Whether the request may have arrived, so that the next send is a repeat.
     may_have_run : bool
         Whether any server may have run the request.
+    pending : bool
+        Whether a reply may still come.
     """
 
     index: int
     tried: tuple[str, ...]
     reached: bool
     may_have_run: bool
+    pending: bool
 
 
 class Gathered(typing.NamedTuple):
@@ -199,14 +223,18 @@
 
     Attributes
     ----------
+    batch : int
+        Number under which the rest may be asked for.
     arrived : tuple of (int, str)
-        Shards by their place in the batch, with the signatures of their replies.
+        Shards that arrived since the last reply, by their place in the batch, with the
+        signatures of their replies.
     open : tuple of OpenShard
-        The other shards.
+        Shards without a reply.
     body : bytes
-        Merged records of the shards that arrived.
+        Merged records of `arrived`.
     """
 
+    batch: int
     arrived: tuple[tuple[int, str], ...]
     open: tuple[OpenShard, ...]
     body: bytes
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -314,6 +314,7 @@
     def __init__(self, peers=1, zones=("nadi",), **values):
         super().__init__(replicas=0, **values)
         self.batches = {}
+        self.arrived = set()
         for service in SHARDS:
             for index, zone in enumerate(zones):
                 entry = make_entry(f"{service}-{index}", service, zone)
@@ -337,15 +338,24 @@
         )
 
     def gather(
-        self, number, arrived, body=b"", tried=("shard-x",), reached=True, run=True
+        self,
+        number,
+        arrived,
+        body=b"",
+        tried=("shard-x",),
+        reached=True,
+        run=True,
+        pending=False,
     ):
-        services = self.batches.pop(number).batch.services
+        shards = self.batches.pop(number).shards
+        self.arrived = {*self.arrived, *arrived}
         reply = forwarding.Gathered(
-            tuple((index, f"s-{services[index]}") for index in arrived),
+            7,
+            tuple((index, f"s-{SHARDS[index]}") for index in arrived),
             tuple(
-                forwarding.OpenShard(index, tried, reached, run)
-                for index in range(len(services))
-                if index not in arrived
+                forwarding.OpenShard(index, tried, reached, run, pending)
+                for index in range(shards)
+                if index not in self.arrived
             ),
             body,
         )
@@ -357,8 +367,8 @@
     world = FarWorld()
     number = world.ask("/page/1")
     (delegate,) = world.batches.values()
-    assert (delegate.batch.services, world.sends) == (SHARDS, {})
-    assert 0 < delegate.batch.wait_s < PAGE.objective_s
+    assert (delegate.message.services, world.sends) == (SHARDS, {})
+    assert 0 < delegate.message.wait_s < PAGE.objective_s
     world.gather(delegate.number, range(4), b"b" * 16 + b"a" * 16)
     answer = world.answers[number]
     assert answer.missing == 0
@@ -491,6 +501,49 @@
     assert len(world.answers) == 1
 
 
+def test_shard_that_is_pending_in_a_batch_is_hedged_and_asked_for_again():
+    """On pbc-search replies just after the first reply to a batch once were lost."""
+    world = FarWorld(zones=("nadi", "suva"))
+    number = world.ask("/page/1")
+    (batch,) = world.batches
+    world.gather(batch, [0, 1, 2], b"c" * 16, tried=("shard-3-0",), pending=True)
+    assert [send.identity for send in world.sends.values()] == ["shard-3-1"]
+    (rest,) = world.batches.values()
+    assert rest.message.batch == 7
+    assert world.now + rest.message.wait_s < 100.0 + PAGE.objective_s
+    world.gather(rest.number, [3], b"d" * 16)
+    assert world.answers[number].body == b"d" * 16 + b"c" * 16
+    assert world.answers[number].missing == 0
+
+
+def test_rest_of_a_batch_is_not_asked_for_if_another_server_replied():
+    world = FarWorld(zones=("nadi", "suva"))
+    number = world.ask("/page/1")
+    (batch,) = world.batches
+    world.gather(batch, [0, 1], tried=("shard-3-0",), pending=True)
+    for send in list(world.sends):
+        world.reply(send)
+    assert world.answers[number].missing == 0
+    (rest,) = world.batches
+    world.gather(rest, [], tried=("shard-3-0",), pending=True)
+    assert world.batches == {}
+
+
+@pytest.mark.parametrize("kind", forwarding.FailureKind)
+def test_failed_question_for_the_rest_is_no_promise_about_the_batch(kind):
+    """Guards against more runs than the route allows."""
+    world = FarWorld(zones=("nadi", "suva"))
+    world.ask("/page/1")
+    (batch,) = world.batches
+    world.gather(batch, [0, 1, 2], tried=("shard-3-0",), pending=True)
+    (rest,) = world.batches
+    world.batches.clear()
+    failure = forwarding.SendFailure(kind)
+    world.take(world.core.note_batch_failure(world.now, rest, failure))
+    world.walk(world.now + 0.1)
+    assert len(world.sends) == 1
+
+
 def take_batch(world, services=SHARDS, wait_s=0.05):
     batch = forwarding.Batch(make_request("/page/1"), services, 3, wait_s, 1.0)
     number, actions = world.core.accept_batch(world.now, batch)
@@ -510,6 +563,58 @@
     assert (gathered.open, len(gathered.body)) == ((), 48)
 
 
+def take_rest(world, number, identity="r-1", wait_s=0.05):
+    rest = forwarding.Continuation(number, identity, wait_s)
+    world.answers.pop(number, None)
+    answered, actions = world.core.accept_continuation(world.now, rest)
+    world.take(actions)
+    return answered
+
+
+def test_rest_of_a_batch_holds_only_what_is_new():
+    world = World()
+    number = take_batch(world)
+    for service in SHARDS[:3]:
+        world.reply(*world.find(service), make_reply(b"a" * 16))
+    world.walk(world.now + 0.05)
+    first = world.answers[number]
+    assert (len(first.arrived), [shard.pending for shard in first.open]) == (3, [True])
+    assert take_rest(world, number) == number
+    world.reply(*world.find("shard-3"), make_reply(b"b" * 16, signature="s3"))
+    rest = world.answers[number]
+    assert (rest.arrived, rest.open, rest.body) == (((3, "s3"),), (), b"b" * 16)
+    assert world.core.open_count == 0
+
+
+def test_rest_that_came_in_between_is_returned_at_once():
+    world = World()
+    number = take_batch(world)
+    world.walk(world.now + 0.05)
+    for send in list(world.sends):
+        world.reply(send)
+    take_rest(world, number)
+    assert len(world.answers[number].arrived) == 4
+
+
+@pytest.mark.parametrize("identity", ["r-1", "r-2"])
+def test_rest_of_an_unknown_batch_is_refused(identity):
+    """Guards against the replies to another request."""
+    world = World()
+    number = take_batch(world)
+    if identity == "r-2":
+        world.walk(world.now + 0.05)
+    answered = take_rest(world, number, identity)
+    assert answered != number
+    assert world.answers[answered].kind is errors.ErrorKind.OUTCOME_UNKNOWN
+
+
+def test_batch_whose_rest_is_not_asked_for_ends():
+    world = World()
+    take_batch(world)
+    world.walk(world.now + 0.05 + forwarder.LINGER_S)
+    assert (world.sends, world.core.open_count) == ({}, 0)
+
+
 def test_batch_is_gathered_in_time_and_sends_nothing_twice():
     world = World()
     number = take_batch(world)
@@ -520,7 +625,7 @@
     world.walk(world.now + 0.05)
     gathered = world.answers[number]
     assert [index for index, _ in gathered.arrived] == [0]
-    assert forwarding.OpenShard(1, (tried,), True, True) in gathered.open
+    assert forwarding.OpenShard(1, (tried,), True, True, False) in gathered.open
     assert len(gathered.open) == 3
     assert world.core.counts["retries"] == world.core.counts["hedges"] == 0
 
@@ -530,7 +635,7 @@
     number = take_batch(world, ("shard-0", "other"))
     world.reply(*world.find("shard-0"))
     gathered = world.answers[number]
-    assert gathered.open == (forwarding.OpenShard(1, (), False, False),)
+    assert gathered.open == (forwarding.OpenShard(1, (), False, False, False),)
 
 
 def test_batch_before_any_deployment_is_refused():
