Prefer servers of the own zone more

Cause: with one request in flight of two slots a server of the zone scored like an idle one elsewhere, so bursts crossed zones.

Change: the penalty of another zone is 1.0 instead of 0.5.

--- a/acacialatch/backends.py
+++ b/acacialatch/backends.py
@@ -20,7 +20,7 @@
 STALL_PENALTY = 3.0
 """Added to the score while a request takes longer than its hedge delay."""
 
-OTHER_ZONE_PENALTY = 0.5
+OTHER_ZONE_PENALTY = 1.0
 """Added to the score for traffic between availability zones."""
 
 RETRY_FIRST_S = 0.25
