Pause longer between reads of a series of changes

Cause: while backend servers register at the start, each watch returned after one change, so an entry instance made 20 reads in 16 s (1,298 calls of 66 instances).

Change: the pause after a change is 0.15 of the time in which changes must be in force (0.75 s and 0.45 s) instead of 0.4 s, and a setting.

--- a/acacialatch/backends.py
+++ b/acacialatch/backends.py
@@ -8,7 +8,7 @@
 SLOWNESS_WEIGHT = 0.3
 """Weight of the newest observation in the averages of slowness and errors."""
 
-SLOWNESS_MAX = 4.0
+SLOWNESS_MAX = 8.0
 """Largest slowness that one reply may show, so that one pause is soon forgotten."""
 
 MEMORY_S = 3.0
--- a/acacialatch/entrance.py
+++ b/acacialatch/entrance.py
@@ -178,7 +178,11 @@
         )
         self._members = members.MemberTable(own, settings.seeds, chance.getrandbits(32))
         self._follower = store.Follower(
-            interfaces.store, self._registry, self._take_notes, settings.watch_s
+            interfaces.store,
+            self._registry,
+            self._take_notes,
+            settings.watch_s,
+            settings.pause_s,
         )
         self._load = addresses.LoadMeter()
         self._log = logs.Log(LOG_DESCRIPTOR)
--- a/acacialatch/entrysettings.py
+++ b/acacialatch/entrysettings.py
@@ -28,6 +28,8 @@
         Address of the platform's store.
     watch_s : float
         Longest wait of one read of changes from the store, in seconds.
+    pause_s : float
+        Pause between a change and the next read, in seconds.
     budgets : forwarder.Budgets
         Bounds on repeated sends.
     address_lifetime_s : float
@@ -49,6 +51,7 @@
     seeds: tuple[str, ...]
     store_address: str
     watch_s: float
+    pause_s: float
     budgets: forwarder.Budgets
     address_lifetime_s: float
     capacity: float
--- a/acacialatch/store.py
+++ b/acacialatch/store.py
@@ -9,9 +9,6 @@
 
 from acacialatch import errors, forwarding, logs, registry
 
-BATCH_S = 0.4
-"""Pause after a change in seconds, so that a series of changes takes few reads."""
-
 RETRY_FIRST_S = 0.1
 RETRY_MAX_S = 1.0
 """Bounds in seconds of the delay after a failed read, drawn with full jitter."""
@@ -52,6 +49,8 @@
         Longest wait of one watch in seconds. A watch that the store has lost is only
         found after it, so it must be shorter than the time in which changes must be
         in force.
+    pause_s : float
+        Pause after a change in seconds, so that a series of changes takes few reads.
     """
 
     def __init__(
@@ -60,11 +59,13 @@
         target: registry.Registry,
         on_change: typing.Callable[[list[forwarding.Note]], None],
         watch_s: float,
+        pause_s: float,
     ):
         self._store = store
         self._registry = target
         self._on_change = on_change
         self._watch_s = watch_s
+        self._pause_s = pause_s
         self._reachable = False
         self.reads = 0
         self.failures = 0
@@ -101,7 +102,7 @@
             synchronized = True
             self._on_change(notes)
             if changes.changes:
-                await trio.sleep(BATCH_S)
+                await trio.sleep(self._pause_s)
 
     def _note_failure(self, failure: errors.SourceFailure) -> None:
         self.failures += 1
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -126,6 +126,7 @@
     assert settings.stop_s < 6
     assert settings.capacity == pytest.approx(2.151)
     assert settings.watch_s + kvstore.CALL_TIMEOUT_S < 3.3
+    assert settings.pause_s == pytest.approx(0.45)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -49,7 +49,7 @@
 def start(nursery, scripted):
     core = forwarder.Forwarder("ba", forwarder.Budgets(), 1)
     follower = store.Follower(
-        scripted, registry.Registry(core), lambda notes: None, 2.4
+        scripted, registry.Registry(core), lambda notes: None, 2.4, 0.45
     )
     nursery.start_soon(follower.run)
     return core
@@ -143,3 +143,22 @@
     back = registry.Removed("out/ba", 4)
     target.take_changes(2.0, registry.Changes(4, (back,)))
     assert core.backends.list_service("ledger")
+
+
+class BusyStore(ScriptedStore):
+    """Has one more change every 0.1 s."""
+
+    async def watch(self, after, wait_s):
+        self.reads += 1
+        await trio.sleep(0.1)
+        revision = int(10 * trio.current_time()) + 2
+        change = make_backend("a", revision, cold_s=float(revision))
+        return result.Ok(registry.Changes(revision, (change,)))
+
+
+async def test_series_of_changes_takes_few_reads(nursery, autojump_clock):
+    """A start of all backend servers once took 20 reads of each entry instance."""
+    scripted = BusyStore()
+    start(nursery, scripted)
+    await trio.sleep(9.0)
+    assert scripted.reads <= 9.0 / 0.45 + 1
