Refuse queries without enough servers before any send

Change: a query for which too few shards have a server that is usable, or will be within the objective, is refused at once, with nothing sent (503, not run).

--- a/acacialatch/forwarder.py
+++ b/acacialatch/forwarder.py
@@ -154,7 +154,7 @@
             now + patience_s,
             [exchanges.Leg(name) for name in self._choose_services(route.target)],
         )
-        if patience_s <= 0:
+        if patience_s <= 0 or not self._can_serve(now, exchange):
             return number, self._refuse_new(number, request, errors.ErrorKind.NOT_RUN)
         self._exchanges[number] = exchange
         actions: list[forwarding.Action] = []
@@ -636,6 +636,18 @@
             self.counts["retries"] += 1
         self._send(now, exchange, leg, backend, False, actions)
 
+    def _can_serve(self, now: float, exchange: exchanges.Exchange) -> bool:
+        """Return whether enough shards of a query have a server to ask."""
+        target = exchange.route.target
+        if not isinstance(target, deployment.ShardTarget):
+            return True
+        hoped = sum(
+            bool(self.backends.list_zones(now, leg.service))
+            or self._can_wait(now, exchange, leg)
+            for leg in exchange.legs
+        )
+        return hoped >= completion.count_needed(len(exchange.legs), target.coverage_min)
+
     def _can_wait(
         self, now: float, exchange: exchanges.Exchange, leg: exchanges.Leg
     ) -> bool:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -308,6 +308,28 @@
     assert sent <= 2.0 * 4.0 / 2 + 1
 
 
+def test_query_without_enough_servers_is_refused_before_any_send():
+    """After a restart with the store, queries were sent, cut off and answered 504."""
+    world = World()
+    for service in SHARDS[:2]:
+        for index in range(2):
+            world.core.backends.remove(f"{service}-{index}")
+    answer = world.answers[world.ask("/page/1")]
+    assert (answer.kind, world.sends) == (errors.ErrorKind.NOT_RUN, {})
+    assert 0.5 <= answer.retry_after_s <= 1.0
+
+
+def test_query_whose_servers_are_busy_for_a_moment_is_not_refused():
+    world = World()
+    for service in SHARDS:
+        for backend in world.core.backends.list_service(service):
+            backend.shed_until = world.now + 0.05
+    number = world.ask("/page/1")
+    assert number not in world.answers
+    world.walk(world.now + 0.06)
+    assert len(world.sends) == 4
+
+
 class FarWorld(World):
     """A forwarder whose shards all have their servers in another zone."""
 
