--- a/acacialatch/forwarder.py
+++ b/acacialatch/forwarder.py
@@ -41,6 +41,9 @@
 """An answer leaves this long before the time at which the caller stops waiting."""
 
 
+QUEUE_MAX = 1
+"""Requests that this process lets wait at one server beyond its slots."""
+
 HOP_S = 0.01
 """Time in seconds for a batch to another entry instance and back."""
 
@@ -456,7 +459,7 @@
         gap_s = self._instances / cold_rate if cold_rate > 0 else 0.0
 
         def accept(backend: backends.Backend) -> bool:
-            if backend.in_flight >= share:
+            if backend.in_flight >= min(share, backend.entry.slots + QUEUE_MAX):
                 return False
             if gap_s and now < backend.cold_until and backend.cold_sends:
                 return now - backend.cold_sends[-1] >= gap_s
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -330,6 +330,17 @@
     assert len(world.sends) == 4
 
 
+def test_requests_wait_here_rather_than_at_a_full_server():
+    """After a restart each instance once opened more connections than servers take."""
+    world = World(replicas=1)
+    for index in range(8):
+        world.ask("/lookup/1", identity=f"r-{index}")
+    assert len(world.sends) == 3 + forwarder.QUEUE_MAX
+    world.reply(next(iter(world.sends)))
+    world.walk(world.now + 0.02)
+    assert len(world.sends) == 3 + forwarder.QUEUE_MAX
+
+
 class FarWorld(World):
     """A forwarder whose shards all have their servers in another zone."""
 
