Keep budget of repeated sends for requests that failed

Change: hedges may use 0.7 of the budget; a request that one server answers is hedged after half of its objective at the latest.

--- a/acacialatch/forwarder.py
+++ b/acacialatch/forwarder.py
@@ -26,7 +26,10 @@
 """Multiple of the median latency after which a second server is asked."""
 
 HEDGE_OBJECTIVES = 0.3
-"""Largest delay of a hedge, as a share of the latency objective."""
+"""Largest delay of a hedge for a shard, as a share of the latency objective."""
+
+SINGLE_HEDGE_OBJECTIVES = 0.5
+"""The same for a request that one server answers, which may take its time."""
 
 WAIT_STEP_S = 0.01
 """Period in seconds at which a request without a usable server looks again."""
@@ -496,7 +499,7 @@
         if backend is None:
             leg.hedge_at = now + WAIT_STEP_S
             return
-        if not self._find_resends(leg.service).take(now, self._instances):
+        if not self._find_resends(leg.service).take(now, self._instances, True):
             self.counts["hedges_without_budget"] += 1
             return
         exchange.hedges += 1
@@ -704,7 +707,9 @@
         )
 
     def _hedge_delay(self, route: deployment.Route) -> float:
-        longest_s = HEDGE_OBJECTIVES * route.objective_s
+        is_sharded = isinstance(route.target, deployment.ShardTarget)
+        share = HEDGE_OBJECTIVES if is_sharded else SINGLE_HEDGE_OBJECTIVES
+        longest_s = share * route.objective_s
         window = self._latencies.get(route.name)
         median = window.median() if window is not None else None
         if median is None:
--- a/acacialatch/resends.py
+++ b/acacialatch/resends.py
@@ -6,6 +6,9 @@
 MARGIN_S = 0.5
 """Added to the window, since sends arrive later than they are counted."""
 
+HEDGE_SHARE = 0.7
+"""Share of the budget that hedges may use; the rest is for requests that failed."""
+
 SAFETY = 0.9
 """Share of the budget that is used; the rest covers sends that arrive late."""
 
@@ -62,14 +65,28 @@
         instances : int
             Entry instances that share the allowance, at least 1.
         """
+        return self._limit(now, instances) - len(self._resends)
+
+    def _limit(self, now: float, instances: int) -> float:
         self._expire(now)
         known = min(1.0, (now - self._started) / self._window_s)
         limit = self._ratio * len(self._requests) + known * self._allowance / instances
-        return SAFETY * limit - len(self._resends)
+        return SAFETY * limit
+
+    def take(self, now: float, instances: int, hedge: bool = False) -> bool:
+        """Count a repeated send if there is room; return whether there was.
 
-    def take(self, now: float, instances: int) -> bool:
-        """Count a repeated send if there is room; return whether there was."""
-        if self.available(now, instances) < 1:
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        instances : int
+            Entry instances that share the allowance, at least 1.
+        hedge : bool
+            Whether the first send may still succeed.
+        """
+        limit = (HEDGE_SHARE if hedge else 1.0) * self._limit(now, instances)
+        if limit - len(self._resends) < 1:
             return False
         self._resends.append(now)
         return True
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -341,6 +341,19 @@
     assert len(world.sends) == 3 + forwarder.QUEUE_MAX
 
 
+def test_hedges_leave_budget_for_requests_that_failed():
+    """Hedges of slow lookups once used up the budget, and crashes were answered 502."""
+    world = World(replicas=8, budgets=forwarder.Budgets(0.2, 10.0, 10.0))
+    numbers = [world.ask("/lookup/1", identity=f"r-{n}") for n in range(12)]
+    world.walk(world.now + 0.9 * LOOKUP.objective_s)
+    assert world.core.counts["hedges_without_budget"] > 0
+    failing = world.ask("/lookup/2", identity="failing")
+    world.fail(max(world.sends), forwarding.FailureKind.CUT)
+    assert failing not in world.answers
+    assert world.core.counts["retries"] == 1
+    assert not set(numbers) & set(world.answers)
+
+
 class FarWorld(World):
     """A forwarder whose shards all have their servers in another zone."""
 
