--- a/acacialatch/forwarder.py
+++ b/acacialatch/forwarder.py
@@ -206,7 +206,7 @@
             if leg.service in self.deployment.services:
                 self._advance(now, exchange, leg, actions)
             else:
-                self._lose(exchange, leg)
+                self._lose(exchange, leg, "unknown service")
         self._settle(now, exchange, actions)
         self._schedule(now, exchange)
         return number, actions
@@ -622,7 +622,7 @@
         leg.retry_at = leg.hedge_at = math.inf
         spent = leg.runs >= exchange.route.attempts_max
         if spent or (leg.runs and not exchange.may_repeat):
-            self._lose(exchange, leg)
+            self._lose(exchange, leg, f"{leg.runs} runs are allowed")
             return
         backend = self.backends.choose(
             now, leg.service, leg.tried, self._accepts(now, leg.service)
@@ -631,12 +631,12 @@
             if self._can_wait(now, exchange, leg):
                 leg.retry_at = now + WAIT_STEP_S
             else:
-                self._lose(exchange, leg)
+                self._lose(exchange, leg, "no usable server")
             return
         if leg.reached:
             if not self._find_resends(leg.service).take(now, self._instances):
                 self.counts["retries_without_budget"] += 1
-                self._lose(exchange, leg)
+                self._lose(exchange, leg, "no budget for a resend")
                 return
             exchange.retries += 1
             self.counts["retries"] += 1
@@ -760,8 +760,11 @@
         else:
             backend.note_error(now)
 
-    def _lose(self, exchange: exchanges.Exchange, leg: exchanges.Leg) -> None:
+    def _lose(
+        self, exchange: exchanges.Exchange, leg: exchanges.Leg, reason: str
+    ) -> None:
         leg.lost = True
+        leg.trace.append(reason)
         exchange.lost += 1
 
     # Answers.
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -688,3 +688,26 @@
     world = World(deployed=None)
     answer = world.answers[take_batch(world)]
     assert answer.kind is errors.ErrorKind.NO_CONFIGURATION
+
+
+@pytest.mark.parametrize(
+    ("path", "ratio", "reason"),
+    [
+        ("/booking/1", 0.2, "1 runs are allowed"),
+        ("/lookup/1", 0.0, "no budget for a resend"),
+    ],
+)
+def test_log_says_why_a_failed_request_was_not_repeated(path, ratio, reason):
+    world = World(budgets=forwarder.Budgets(ratio, 50.0 * ratio, 10.0))
+    world.ask(path)
+    world.fail(*world.sends, forwarding.FailureKind.CUT)
+    (note,) = world.notes
+    (text,) = note.values["unusual"]
+    assert text.endswith(f"cut, {reason}")
+
+
+def test_log_says_that_no_server_was_usable():
+    world = World(replicas=0)
+    world.ask("/lookup/1")
+    (note,) = world.notes
+    assert note.values["unusual"] == ["ledger: no usable server"]
