--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -9,7 +9,7 @@
 from acacialatch import backends, deployment, forwarder, forwarding, merging
 
 ZONES = ("ba", "nadi", "suva")
-SHARDS = tuple(f"shard-{number}" for number in range(8))
+SHARDS = tuple(f"shard-{number}" for number in range(9))
 RECORDS_MAX = 5
 PAGE = deployment.Route(
     "page",
@@ -58,11 +58,10 @@
             core.set_instances(len(ZONES))
             core.put_deployment(DEPLOYED)
             for index, service in enumerate(SHARDS):
-                for place in (index, index + 1):
-                    where = ZONES[place % len(ZONES)]
-                    core.backends.put(
-                        self.now, make_entry(f"{service}@{where}", service, where)
-                    )
+                where = ZONES[index % len(ZONES)]
+                for replica in "ab":
+                    identity = f"{service}@{where}-{replica}"
+                    core.backends.put(self.now, make_entry(identity, service, where))
             core.set_peers(
                 self.now,
                 [make_entry(one, one, one) for one in ZONES if one != zone],
@@ -131,7 +130,7 @@
         self.take(zone, actions)
 
     @stateful.precondition(lambda self: self.sends)
-    @stateful.rule(data=strategies.data(), count=strategies.integers(1, 8))
+    @stateful.rule(data=strategies.data(), count=strategies.integers(1, 12))
     def end_sends(self, data, count):
         for _ in range(min(count, len(self.sends))):
             key = data.draw(strategies.sampled_from(sorted(self.sends)))
@@ -194,7 +193,7 @@
                 zone, self.cores[zone].note_batch_failure(self.now, number, failure)
             )
 
-    @stateful.rule(step_s=strategies.sampled_from([0.002, 0.02, 0.1, 0.5]))
+    @stateful.rule(step_s=strategies.sampled_from([0.002, 0.03, 0.06, 0.2]))
     def pass_time(self, step_s):
         until = self.now + step_s
         for _ in range(STEPS_MAX):
@@ -226,8 +225,8 @@
             assert extra <= bound
 
     def teardown(self):
-        for _ in range(3):
-            self.pass_time(0.5)
+        for _ in range(8):
+            self.pass_time(0.2)
         assert self.asked == {}
         for core in self.cores.values():
             assert core.open_count == 0
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -711,3 +711,28 @@
     world.ask("/lookup/1")
     (note,) = world.notes
     assert note.values["unusual"] == ["ledger: no usable server"]
+
+
+def test_runs_through_a_batch_count_as_attempts():
+    """Guards against more runs than the route allows."""
+    world = FarWorld(zones=("nadi", "suva", "suva"))
+    world.ask("/page/1")
+    (batch,) = world.batches
+    world.gather(batch, [0, 1, 2], tried=("shard-3-0",), pending=True)
+    (rest,) = world.batches
+    world.batches.clear()
+    world.fail(*world.sends, forwarding.FailureKind.CUT)
+    failure = forwarding.SendFailure(forwarding.FailureKind.NOT_SENT)
+    world.take(world.core.note_batch_failure(world.now, rest, failure))
+    world.walk(world.now + 0.1)
+    assert world.sends == {}
+    again = FarWorld(zones=("nadi", "suva", "suva"))
+    again.ask("/page/1")
+    (batch,) = again.batches
+    again.batches.clear()
+    failure = forwarding.SendFailure(forwarding.FailureKind.CUT)
+    again.take(again.core.note_batch_failure(again.now, batch, failure))
+    while again.sends:
+        again.fail(next(iter(again.sends)), forwarding.FailureKind.CUT)
+    again.walk(again.now + 0.1)
+    assert again.sends == {}
