--- a/acacialatch/forwarder.py
+++ b/acacialatch/forwarder.py
@@ -499,7 +499,7 @@
         if backend is None:
             leg.hedge_at = now + WAIT_STEP_S
             return
-        if not self._find_resends(leg.service).take(now, self._instances, True):
+        if not self._find_resends(leg.service).take(now, self._instances, hedge=True):
             self.counts["hedges_without_budget"] += 1
             return
         exchange.hedges += 1
