--- a/acacialatch/addresses.py
+++ b/acacialatch/addresses.py
@@ -18,7 +18,7 @@
 """
 
 SEND_CPU_S = 0.0003
-"""Processor time of one send with its reply, in seconds of a core (bench.capacity)."""
+"""Processor time of one send with its reply, in seconds of a core; an estimate."""
 
 MEMORY_S = 4.0
 """Time constant in seconds of the smoothed load."""
--- a/acacialatch/forwarder.py
+++ b/acacialatch/forwarder.py
@@ -355,7 +355,8 @@
                 leg.hedge_at = min(leg.hedge_at, now)
                 self._advance_due(now, exchange, leg, actions)
                 continue
-            leg.runs -= not shard.may_have_run
+            if not shard.may_have_run:
+                leg.runs -= 1
             if not leg.open:
                 leg.reached = shard.reached
             self._resume(now, exchange, leg, actions)
