Bound replies without end, compare identifiers first, survive unexpected errors

Cause, each shown by a test that fails at: - heads, interim replies, chunk extensions and trailers of backend servers had no bound (memory and quadratic time); the replies in progress had none together. - 421 and the not-run header were believed before the request identifier was compared, and a reply without one passed for any request; a trailer counted as a header field. - a connection that had brought a reply to another request was used again; a reply after a late one was lost although it followed. - a registration with a port above 65535, a port of other digits or an identity that is not ASCII ended the process, and so did a header field that h11 refuses, a digest with a counter of 2^64 - 1 and any unexpected error in a reply, a timer or the store watch. - connections that the kernel had accepted, and requests in the receive buffer of an idle connection, were cut off by a planned stop. - an instance that had ended was passed on as live by instances that started one after the other. Change: bounds in backendclient, httpclient and sources; FailureKind.OTHER_REQUEST, late replies are skipped; validation in the adapter; errors of one event are logged; the listen queue is emptied; members that only others report are confirmed by a heartbeat. The old tests of decode had replies without an identifier; they now carry one, and rows without it were added.

--- a/acacialatch/backendclient.py
+++ b/acacialatch/backendclient.py
@@ -5,6 +5,7 @@
 import dataclasses
 import errno
 import socket
+import typing
 
 import httptools
 import trio
@@ -27,9 +28,42 @@
 """Time in seconds by which a connection is given up before its server closes it."""
 
 REPLY_BYTES_MAX = 8 << 20
+"""Largest body of a reply in bytes."""
+
+REPLIES_BYTES_MAX = 32 << 20
+"""Bodies of all replies that are being received, in bytes.
+
+The largest ones are given up beyond it. The smallest entry instances have 200 MB.
+"""
+
+HEAD_BYTES_MAX = 64 << 10
+"""Bytes before the body of a reply, interim replies included."""
+
+HEADER_FIELDS_MAX = 200
+"""Header fields of a reply, those of interim replies and trailers included."""
+
+FRAMING_BYTES_MAX = 64 << 10
+"""Bytes of chunk sizes, chunk extensions and trailers of a body."""
+
+FRAMING_FACTOR_MAX = 8
+"""Further bytes of framing that are accepted for each byte of the body.
+
+A chunk of one byte has five bytes of framing.
+"""
+
+EXTRA_REPLIES_MAX = 2
+"""Late replies to earlier requests that are skipped before that to the current one."""
+
 _RECEIVE_BYTES_MAX = 65536
 
 
+_OUT_OF_STEP_KINDS = frozenset(
+    {
+        forwarding.FailureKind.MALFORMED_REPLY,
+        forwarding.FailureKind.OTHER_REQUEST,
+    }
+)
+
 Outcome = forwarding.Reply | forwarding.BatchReply
 """Reply of a backend server, or of an entry instance to a batch."""
 
@@ -98,6 +132,9 @@
     def __init__(self) -> None:
         self.fields: list[tuple[bytes, bytes]] = []
         self.body = bytearray()
+        self._received = 0
+        self._head_bytes = 0
+        self._fields_seen = 0
         self.status = 0
         self.is_head_complete = False
         self.is_complete = False
@@ -111,10 +148,34 @@
         Raises
         ------
         httptools.HttpParserError
-            The bytes are not valid HTTP. A complete reply may precede them, so
-            `is_complete` must be checked first.
+            The bytes are not valid HTTP, or exceed a limit of this module. A complete
+            reply may precede them, so `is_complete` must be checked first.
+        ValueError
+            The bytes around the body exceed a limit of this module.
         """
         self._http.feed_data(data)
+        if not self.is_complete:
+            self._check_size(len(data))
+
+    def _check_size(self, count: int) -> None:
+        """Raise ValueError if the bytes around the body exceed their limit.
+
+        Parameters
+        ----------
+        count : int
+            Bytes received since the last call.
+        """
+        self._received += count
+        if not self.is_head_complete:
+            self._head_bytes = self._received
+            if self._head_bytes > HEAD_BYTES_MAX:
+                raise ValueError(f"reply head exceeds {HEAD_BYTES_MAX} bytes")
+            return
+        framing = self._received - self._head_bytes - len(self.body)
+        # The last bytes of the head came together with the first ones of the body.
+        framing_max = HEAD_BYTES_MAX + FRAMING_BYTES_MAX
+        if framing > framing_max + FRAMING_FACTOR_MAX * len(self.body):
+            raise ValueError(f"reply framing exceeds {FRAMING_BYTES_MAX} bytes")
 
     def ends_at_connection_close(self) -> bool:
         """Return whether only the end of the connection marks the end of the body."""
@@ -129,7 +190,13 @@
             self.has_surplus = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.is_complete:
+        if self.is_complete:
+            return
+        self._fields_seen += 1
+        if self._fields_seen > HEADER_FIELDS_MAX:
+            raise ValueError(f"reply has over {HEADER_FIELDS_MAX} header fields")
+        # A trailer must not claim what only the header may, such as the run state.
+        if not self.is_head_complete:
             self.fields.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -164,6 +231,8 @@
     send: forwarding.Outgoing | None
     parser: _ReplyParser
     unsent: bytes = b""
+    buffered_bytes: int = 0
+    extra_replies: int = 0
     last_active_at: float = 0.0
     usable_until: float = 0.0
     is_closed: bool = False
@@ -183,14 +252,23 @@
         Receives replies and failures.
     nursery : trio.Nursery
         Nursery of the tasks of the connections.
+    on_error : callable
+        Called with an unexpected exception of one send. The send fails, the others go
+        on.
     """
 
     def __init__(
-        self, protocol: BackendProtocol, receiver: Receiver, nursery: trio.Nursery
+        self,
+        protocol: BackendProtocol,
+        receiver: Receiver,
+        nursery: trio.Nursery,
+        on_error: typing.Callable[[Exception], None] = lambda error: None,
     ):
         self._protocol = protocol
         self._receiver = receiver
         self._nursery = nursery
+        self._on_error = on_error
+        self._buffered_bytes = 0
         self._idle: dict[str, list[_Connection]] = {}
         self._sends: dict[int, _Connection] = {}
         self.opened = 0
@@ -204,12 +282,13 @@
             return
         connection.send = send
         connection.parser = _ReplyParser()
-        connection.unsent = self._protocol.encode(send)
         try:
+            connection.unsent = self._protocol.encode(send)
             self._write(connection)
-        except OSError:
+        except (OSError, ValueError):
             # The server has closed the idle connection and received no byte of the
-            # request, so that a new connection may be tried.
+            # request, so that a new connection may be tried. A request that cannot be
+            # encoded fails there.
             connection.send = None
             self._close(connection)
             self._start_connection(send)
@@ -280,18 +359,12 @@
         try:
             try:
                 await self._connect(connection)
-            except (OSError, trio.TooSlowError) as error:
-                self._report_failure(
-                    connection, forwarding.FailureKind.NOT_SENT, repr(error)
-                )
-                return
-            if connection.is_closed:
-                return
-            assert connection.send is not None
-            connection.unsent = self._protocol.encode(connection.send)
-            try:
+                if connection.is_closed:
+                    return
+                assert connection.send is not None
+                connection.unsent = self._protocol.encode(connection.send)
                 self._write(connection)
-            except OSError as error:
+            except (OSError, ValueError, OverflowError, trio.TooSlowError) as error:
                 self._report_failure(
                     connection, forwarding.FailureKind.NOT_SENT, repr(error)
                 )
@@ -304,6 +377,11 @@
         except trio.ClosedResourceError:
             # The connection was closed while this task waited for its socket.
             pass
+        except Exception as error:
+            self._on_error(error)
+            self._report_failure(
+                connection, forwarding.FailureKind.CONNECTION_LOST, repr(error)
+            )
         finally:
             self._close(connection)
 
@@ -374,6 +452,7 @@
                 )
             return
         may_reuse = True
+        body_bytes = len(parser.body)
         try:
             parser.feed(data)
         except (httptools.HttpParserError, ValueError) as error:
@@ -386,14 +465,53 @@
         if parser.is_complete:
             may_reuse = may_reuse and not parser.has_surplus and not connection.unsent
             self._report_reply(connection, may_reuse and parser.allows_reuse)
+            return
+        connection.buffered_bytes += len(parser.body) - body_bytes
+        self._buffered_bytes += len(parser.body) - body_bytes
+        self._limit_buffered_bytes()
+
+    def _limit_buffered_bytes(self) -> None:
+        """Give up the largest incomplete replies while their sum exceeds its limit."""
+        while self._buffered_bytes > REPLIES_BYTES_MAX:
+            largest = max(self._sends.values(), key=lambda one: one.buffered_bytes)
+            self._report_failure(
+                largest,
+                forwarding.FailureKind.MALFORMED_REPLY,
+                f"replies in progress exceed {REPLIES_BYTES_MAX} bytes",
+            )
+
+    def _release_buffer(self, connection: _Connection) -> None:
+        """Stop counting the incomplete reply of a connection."""
+        self._buffered_bytes -= connection.buffered_bytes
+        connection.buffered_bytes = 0
 
     def _report_reply(self, connection: _Connection, reusable: bool) -> None:
-        """Keep or close the connection, then pass the outcome to the receiver."""
+        """Keep or close the connection, then pass the outcome to the receiver.
+
+        A late reply to an earlier request of the connection is skipped. After any
+        other reply that is not valid the connection is closed, since the reply to this
+        request may still follow on it.
+        """
         send = connection.send
         parser = connection.parser
         assert send is not None
+        outcome = self._protocol.decode(
+            send, parser.status, parser.fields, bytes(parser.body)
+        )
+        self._release_buffer(connection)
+        failure = outcome.kind if isinstance(outcome, forwarding.SendFailure) else None
+        if (
+            failure is forwarding.FailureKind.OTHER_REQUEST
+            and reusable
+            and connection.extra_replies < EXTRA_REPLIES_MAX
+        ):
+            connection.extra_replies += 1
+            connection.parser = _ReplyParser()
+            return
         connection.send = None
+        connection.extra_replies = 0
         del self._sends[send.number]
+        reusable = reusable and failure not in _OUT_OF_STEP_KINDS
         now = trio.current_time()
         idle_s = _get_keep_alive_s(parser.fields) - IDLE_MARGIN_S
         if reusable and idle_s > 0:
@@ -402,13 +520,7 @@
             self._idle.setdefault(connection.address, []).append(connection)
         else:
             self._close(connection)
-        outcome = self._protocol.decode(
-            send, parser.status, parser.fields, bytes(parser.body)
-        )
-        if isinstance(outcome, forwarding.SendFailure):
-            self._receiver.handle_failure(send.number, outcome)
-        else:
-            self._receiver.handle_reply(send.number, outcome)
+        self._pass_on(send.number, outcome)
 
     def _report_failure(
         self, connection: _Connection, kind: forwarding.FailureKind, detail: str
@@ -418,13 +530,23 @@
         self._close(connection)
         if send is not None:
             del self._sends[send.number]
-            failure = forwarding.SendFailure(kind, detail)
-            self._receiver.handle_failure(send.number, failure)
+            self._pass_on(send.number, forwarding.SendFailure(kind, detail))
+
+    def _pass_on(self, number: int, outcome: Outcome | forwarding.SendFailure) -> None:
+        """Pass an outcome to the receiver; an exception of it affects no other send."""
+        try:
+            if isinstance(outcome, forwarding.SendFailure):
+                self._receiver.handle_failure(number, outcome)
+            else:
+                self._receiver.handle_reply(number, outcome)
+        except Exception as error:
+            self._on_error(error)
 
     def _close(self, connection: _Connection) -> None:
         if connection.is_closed:
             return
         connection.is_closed = True
+        self._release_buffer(connection)
         self.connections -= 1
         idle = self._idle.get(connection.address)
         if idle and connection in idle:
--- a/acacialatch/entryinstance.py
+++ b/acacialatch/entryinstance.py
@@ -1,6 +1,7 @@
 """Process of one entry instance: sockets, timers and signals around the forwarder."""
 
 import abc
+import contextlib
 import math
 import random
 import signal
@@ -217,7 +218,6 @@
         self._timer_changed = trio.Event()
         self._wakes_at = math.inf
         self._stopping = False
-        self._in_progress = 0
 
     async def run(self) -> None:
         """Serve until a stop signal.
@@ -230,19 +230,20 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._log.run)
             self._backend_client = backendclient.BackendClient(
-                self._interfaces.backends, self, nursery
+                self._interfaces.backends, self, nursery, self._log_defect
             )
             self._batch_client = backendclient.BackendClient(
                 batchlink.BatchProtocol(),
                 _BatchReceiver(self._forwarder, self._carry_out),
                 nursery,
+                self._log_defect,
             )
             self._gossip = gossip.Gossip(self._members, self._apply_members)
             await nursery.start(self._gossip.run)
             self._caller_server = httpserver.Server(
                 self._handle_request,
                 self._make_error_response,
-                self._log_handler_error,
+                self._log_defect,
                 self._read_limits,
             )
             accepting = trio.CancelScope()
@@ -325,7 +326,7 @@
         answer = forwarding.ErrorReply(errors.ErrorKind(kind))
         return self._interfaces.callers.encode(None, answer)
 
-    def _log_handler_error(self, error: Exception) -> None:
+    def _log_defect(self, error: Exception) -> None:
         logs.write(logs.Part.PROCESS, "defect", error=repr(error))
 
     def _read_limits(self) -> httpserver.Limits:
@@ -394,17 +395,27 @@
                 await self._timer_changed.wait()
             now = trio.current_time()
             if now >= self._forwarder.next_time():
-                self._carry_out(self._forwarder.handle_timers(now))
+                with self._survive_defects():
+                    self._carry_out(self._forwarder.handle_timers(now))
 
     async def _run_housekeeping(self) -> None:
         """Run the timers of the registry, and update the load and the members."""
         while True:
             await trio.sleep(HOUSEKEEPING_PERIOD_S)
-            now = trio.current_time()
-            self._write_log_entries(self._registry.handle_timers(now))
-            sends = self._forwarder.sends_made
-            self._members.set_load(self._load_meter.record_sends(now, sends))
-            self._apply_members()
+            with self._survive_defects():
+                now = trio.current_time()
+                self._write_log_entries(self._registry.handle_timers(now))
+                sends = self._forwarder.sends_made
+                self._members.set_load(self._load_meter.record_sends(now, sends))
+                self._apply_members()
+
+    @contextlib.contextmanager
+    def _survive_defects(self) -> typing.Iterator[None]:
+        """Log an unexpected exception of one event and go on with the next one."""
+        try:
+            yield
+        except Exception as error:
+            self._log_defect(error)
 
     def _apply_members(self) -> None:
         """Pass the number of entry instances and the peers to the forwarder."""
@@ -464,14 +475,14 @@
         ):
             if address:
                 server = httpserver.Server(
-                    handler, self._make_error_response, self._log_handler_error
+                    handler, self._make_error_response, self._log_defect
                 )
                 listener = await httpserver.listen(address)
                 nursery.start_soon(httpserver.serve_listener, server, listener, nursery)
 
     async def _serve_batches(self, nursery: trio.Nursery) -> None:
         server = httpserver.Server(
-            self._handle_batch, self._make_error_response, self._log_handler_error
+            self._handle_batch, self._make_error_response, self._log_defect
         )
         listener = await httpserver.listen(self._settings.gossip_address)
         nursery.start_soon(httpserver.serve_listener, server, listener, nursery)
@@ -535,8 +546,8 @@
         """Wait for a stop signal, then shut down.
 
         New requests are served for `LEAVE_DELAY_S`; then callers' connections are
-        closed as they become idle. What is in progress when the stop time of the
-        settings has passed is answered at once.
+        closed as they become idle, and batches of peers are finished. What is in
+        progress when the stop time of the settings has passed is answered at once.
         """
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
             await received.__anext__()
@@ -551,7 +562,7 @@
                 await trio.sleep(LEAVE_DELAY_S)
                 accepting.cancel()
                 self._caller_server.close_idle()
-                while self._caller_server.connections:
+                while self._caller_server.connections or self._forwarder.open_count:
                     await trio.sleep(CLOSE_POLL_PERIOD_S)
                 return
             self._carry_out(self._forwarder.stop(trio.current_time()))
--- a/acacialatch/forwarding.py
+++ b/acacialatch/forwarding.py
@@ -71,7 +71,8 @@
     the request before running it. WRONG_SERVER: another server has taken over the
     address and refused the request. CONNECTION_LOST: the connection ended after the
     request was sent. MALFORMED_REPLY: the bytes received are no valid reply to this
-    request. After the last two the request may have run.
+    request. OTHER_REQUEST: a valid reply that names another request. After the last
+    three the request may have run.
     """
 
     NOT_SENT = "not_sent"
@@ -79,6 +80,7 @@
     WRONG_SERVER = "wrong_server"
     CONNECTION_LOST = "cut"
     MALFORMED_REPLY = "garbled"
+    OTHER_REQUEST = "other_request"
 
 
 NOT_RUN_KINDS = frozenset(
--- a/acacialatch/gossip.py
+++ b/acacialatch/gossip.py
@@ -82,7 +82,7 @@
                 await self._socket.sendto(data, _split_address(address))
 
     async def _receive(self) -> None:
-        """Merge received digests; reply if either side does not know all members."""
+        """Merge received digests; one that fails does not end the process."""
         while True:
             try:
                 data, (host, port) = await self._socket.recvfrom(_RECEIVE_BYTES)
@@ -93,12 +93,20 @@
             except msgspec.DecodeError:
                 self.malformed += 1
                 continue
-            now = trio.current_time()
-            wants_all = self._table.merge_digest(now, digest)
-            if wants_all or digest.wants_all:
-                reply = self._table.make_digest(now, digest.wants_all, wants_all)
-                await self._send(reply, [f"{host}:{port}"])
-            self._on_change()
+            try:
+                await self._merge(digest, f"{host}:{port}")
+            except Exception as error:
+                self.malformed += 1
+                logs.write(logs.Part.MEMBERSHIP, "digest failed", error=repr(error))
+
+    async def _merge(self, digest: members.Digest, sender: str) -> None:
+        """Merge a digest; reply if either side does not know all members."""
+        now = trio.current_time()
+        wants_all = self._table.merge_digest(now, digest)
+        if wants_all or digest.wants_all:
+            reply = self._table.make_digest(now, digest.wants_all, wants_all)
+            await self._send(reply, [sender])
+        self._on_change()
 
 
 def _split_address(address: str) -> tuple[str, int]:
--- a/acacialatch/httpclient.py
+++ b/acacialatch/httpclient.py
@@ -17,6 +17,13 @@
 
 CONNECT_TIMEOUT_S = 1.0
 REPLY_BYTES_MAX = 4_000_000
+
+INTERIM_REPLIES_MAX = 10
+"""Interim (1xx) replies that are skipped before the reply itself."""
+
+FRAMING_FACTOR_MAX = 8
+"""Bytes that are read for each byte of the largest body, chunk framing included."""
+
 _RECEIVE_BYTES_MAX = 65536
 
 
@@ -295,11 +302,19 @@
     """
     response: h11.Response | None = None
     body = bytearray()
+    interim = received = 0
     while True:
         event = connection.http.next_event()
         if event is h11.NEED_DATA:
             data = await connection.stream.receive_some(_RECEIVE_BYTES_MAX)
+            received += len(data)
+            if received > FRAMING_FACTOR_MAX * REPLY_BYTES_MAX:
+                raise ValueError("reply does not end")
             connection.http.receive_data(data)
+        elif isinstance(event, h11.InformationalResponse):
+            interim += 1
+            if interim > INTERIM_REPLIES_MAX:
+                raise ValueError("too many interim replies")
         elif isinstance(event, h11.Response):
             response = event
             _check_body_length(response)
--- a/acacialatch/httpserver.py
+++ b/acacialatch/httpserver.py
@@ -11,6 +11,15 @@
 
 SEND_TIMEOUT_S = 10.0
 
+ACCEPT_REST_S = 0.01
+"""Wait for each further connection that was set up before the listener closes.
+
+The kernel has accepted it, so that its caller may have sent a request already.
+"""
+
+LAST_REQUEST_S = 0.05
+"""Time in seconds for which a closing idle connection is read for a last request."""
+
 LINGER_TIMEOUT_S = 1.0
 """Longest time for which the rest of a refused request is read, in seconds.
 
@@ -142,7 +151,8 @@
     def close_idle(self) -> None:
         """Close idle connections now, and others as soon as they become idle.
 
-        A request of which some bytes have arrived is still read and answered.
+        A request of which some bytes arrive within `LAST_REQUEST_S` is still read and
+        answered.
         """
         self._closes_idle = True
         for scope in self._idle_scopes:
@@ -155,14 +165,16 @@
 
         They are empty if the caller has closed the connection.
         """
+        if not self._closes_idle:
+            with trio.move_on_after(timeout_s) as scope:
+                self._idle_scopes.add(scope)
+                try:
+                    return await stream.receive_some(_RECEIVE_BYTES_MAX)
+                finally:
+                    self._idle_scopes.discard(scope)
         if self._closes_idle:
-            return None
-        with trio.move_on_after(timeout_s) as scope:
-            self._idle_scopes.add(scope)
-            try:
+            with trio.move_on_after(LAST_REQUEST_S):
                 return await stream.receive_some(_RECEIVE_BYTES_MAX)
-            finally:
-                self._idle_scopes.discard(scope)
         return None
 
     async def serve(self, stream: trio.SocketStream) -> None:
@@ -178,6 +190,10 @@
             await _CallerConnection(self, stream).run()
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
+        except Exception as error:
+            # Such as a reply whose header fields cannot be sent. It ends only the
+            # connection that it concerns.
+            self._on_error(error)
         finally:
             self.connections -= 1
             with trio.move_on_after(1) as scope:
@@ -418,8 +434,18 @@
 ) -> None:
     """Accept connections until `scope` is cancelled, then close the listener.
 
-    Accepted connections are still served in `nursery`.
+    Accepted connections are still served in `nursery`, and so are those that the
+    kernel had accepted by then.
     """
-    with scope:
-        await serve_listener(server, listener, nursery)
-    await listener.aclose()
+    # Keeps the queue of connections when the listener is closed.
+    rest = trio.SocketListener(listener.socket.dup())
+    async with rest:
+        with scope:
+            await serve_listener(server, listener, nursery)
+        while True:
+            stream: trio.SocketStream | None = None
+            with trio.move_on_after(ACCEPT_REST_S):
+                stream = await rest.accept()
+            if stream is None:
+                return
+            nursery.start_soon(server.serve, stream)
--- a/acacialatch/members.py
+++ b/acacialatch/members.py
@@ -8,6 +8,8 @@
 import typing
 import zlib
 
+import msgspec
+
 PERIOD_S = 0.5
 """Interval between digests in seconds."""
 
@@ -33,6 +35,15 @@
 """
 
 
+COUNTER_MAX = 1 << 62
+"""Largest incarnation or heartbeat that a digest may hold.
+
+The wire format holds 64 bits, and both are incremented here.
+"""
+
+Counter = typing.Annotated[int, msgspec.Meta(ge=0, le=COUNTER_MAX)]
+
+
 class Member(typing.NamedTuple):
     """State that an entry instance announces of itself.
 
@@ -58,8 +69,8 @@
     """
 
     name: str
-    incarnation: int
-    heartbeat: int
+    incarnation: Counter
+    heartbeat: Counter
     caller_address: str
     gossip_address: str
     zone: str
@@ -82,7 +93,7 @@
     """
 
     members: list[Member]
-    heartbeats: list[tuple[int, int]]
+    heartbeats: list[tuple[int, Counter]]
     wants_all: bool
 
 
@@ -112,6 +123,9 @@
         self._names_by_key: dict[int, str] = {}
         self._changed_at: dict[str, float] = {}
         self._heard_at: dict[str, float] = {}
+        # Members that only others reported, without a new heartbeat since. One that has
+        # ended would otherwise be listed anew by each instance that starts.
+        self._unconfirmed: set[str] = set()
         self._random = random.Random(seed)
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -167,7 +181,11 @@
 
         The sender should then be asked for all members in full.
         """
-        for member in digest.members:
+        for index, member in enumerate(digest.members):
+            is_sender = index == 0
+            is_known = member.name in self._members or member.name == self.own.name
+            if not is_sender and not is_known:
+                self._unconfirmed.add(member.name)
             self._merge_member(now, member)
         all_known = True
         for key, heartbeat in digest.heartbeats:
@@ -179,6 +197,7 @@
             elif heartbeat > self._members[name].heartbeat:
                 self._members[name] = self._members[name]._replace(heartbeat=heartbeat)
                 self._heard_at[name] = now
+                self._unconfirmed.discard(name)
         return not all_known
 
     def _merge_member(self, now: float, member: Member) -> None:
@@ -188,7 +207,7 @@
         since they would otherwise ignore its digests.
         """
         if member.name == self.own.name:
-            if member.incarnation > self.own.incarnation:
+            if self.own.incarnation < member.incarnation < COUNTER_MAX:
                 # The clock went back between two runs of this process.
                 self.own = self.own._replace(incarnation=member.incarnation + 1)
             return
@@ -199,8 +218,9 @@
                 known.heartbeat,
             ):
                 return
+            self._unconfirmed.discard(member.name)
             if _make_key(known) != _make_key(member):
-                del self._names_by_key[_make_key(known)]
+                self._names_by_key.pop(_make_key(known), None)
                 known = None
         if known is None:
             self._changed_at[member.name] = now
@@ -233,9 +253,14 @@
         return [one.gossip_address for one in self._members.values()]
 
     def list_ready(self, now: float) -> list[Member]:
-        """Return the live entry instances that accept requests, this one included."""
+        """Return the live entry instances that accept requests, this one included.
+
+        Members that only others have reported are left out until their next heartbeat.
+        """
         members = [self.own, *self._list_live(now, LIVENESS_TIMEOUT_S)]
-        return [one for one in members if one.ready]
+        return [
+            one for one in members if one.ready and one.name not in self._unconfirmed
+        ]
 
     def count_sharing(self, now: float) -> int:
         """Return by how many entry instances limits and budgets are divided.
@@ -258,7 +283,8 @@
         for name in [
             name for name, at in self._heard_at.items() if now - at >= REMOVAL_TIMEOUT_S
         ]:
-            del self._names_by_key[_make_key(self._members[name])]
+            self._names_by_key.pop(_make_key(self._members[name]), None)
             del self._members[name]
             del self._heard_at[name]
+            self._unconfirmed.discard(name)
             del self._changed_at[name]
--- a/acacialatch/sources.py
+++ b/acacialatch/sources.py
@@ -16,6 +16,12 @@
 WAIT_MAX_S = 30.0
 LIST_MAX_BYTES = messages.TEXT_MAX_BYTES
 REVISION_MAX = (1 << 63) - 1
+INTERIM_ANSWERS_MAX = 10
+"""Interim (1xx) answers that are skipped before the answer itself."""
+
+FRAMING_FACTOR_MAX = 8
+"""Bytes that are read for each byte of the largest body, chunk framing included."""
+
 _CHUNK_BYTES = 64 << 10
 _REVISION_DIGITS_MAX = 19
 
@@ -236,14 +242,24 @@
         connection.send(request) + connection.send(h11.EndOfMessage())
     )
     status, revision, body = 0, "", bytearray()
+    interim = received = 0
     while True:
         event = connection.next_event()
         if event is h11.NEED_DATA:
             data = await stream.receive_some(_CHUNK_BYTES)
+            received += len(data)
+            if received > _CHUNK_BYTES + FRAMING_FACTOR_MAX * limit:
+                detail = f"answer with a body of {len(body)} bytes does not end"
+                raise _UnusableAnswerError(errors.SourceErrorKind.TOO_LARGE, detail)
             if not data:
                 detail = "connection closed before the end of the answer"
                 raise _UnusableAnswerError(errors.SourceErrorKind.UNREACHABLE, detail)
             connection.receive_data(data)
+        elif isinstance(event, h11.InformationalResponse):
+            interim += 1
+            if interim > INTERIM_ANSWERS_MAX:
+                detail = f"over {INTERIM_ANSWERS_MAX} interim answers"
+                raise _UnusableAnswerError(errors.SourceErrorKind.MALFORMED, detail)
         elif isinstance(event, h11.Response):
             status, revision = event.status_code, _read_revision(event.headers)
             if status != 200:
--- a/acacialatch/store.py
+++ b/acacialatch/store.py
@@ -99,23 +99,35 @@
                 await trio.sleep(random.uniform(0.3, 1.0) * delay_s)
                 delay_s = min(RETRY_MAX_S, 2 * delay_s)
                 continue
-            delay_s = RETRY_FIRST_S
             self._record_success()
             changes = answer.ok_value
             if isinstance(changes, HistoryLost):
                 logs.write(logs.Part.CONFIG, "history of the store was dropped")
                 is_synchronized = False
                 continue
-            now = trio.current_time()
-            if is_synchronized:
-                log_entries = self._registry.apply_changes(now, changes)
-            else:
-                log_entries = self._registry.apply_snapshot(now, changes)
+            try:
+                self._apply(changes, is_synchronized)
+            except Exception as error:
+                # One change that cannot be applied must not end the process.
+                logs.write(logs.Part.PROCESS, "defect", error=repr(error))
+                is_synchronized = False
+                await trio.sleep(delay_s)
+                delay_s = min(RETRY_MAX_S, 2 * delay_s)
+                continue
+            delay_s = RETRY_FIRST_S
             is_synchronized = True
-            self._on_change(log_entries)
             if changes.changes:
                 await trio.sleep(self._pause_s)
 
+    def _apply(self, changes: registry.Changes, is_synchronized: bool) -> None:
+        """Apply the answer to a watch, or the whole content, and report it."""
+        now = trio.current_time()
+        if is_synchronized:
+            log_entries = self._registry.apply_changes(now, changes)
+        else:
+            log_entries = self._registry.apply_snapshot(now, changes)
+        self._on_change(log_entries)
+
     def _record_failure(self, failure: errors.SourceFailure) -> None:
         """Count a failed read; log it only if the store was reachable before."""
         self.failures += 1
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -159,6 +159,9 @@
         {"state": "resting"},
         {"state": None},
         {"address": "nowhere"},
+        {"address": "10.0.0.1:99999"},
+        {"address": "10.0.0.1:\u00b2"},
+        {"address": "host:80"},
         {"address": 7},
         {"slots": "3"},
         {"slots": True},
@@ -175,6 +178,13 @@
     assert isinstance(change, registry.InvalidValue)
 
 
+@pytest.mark.parametrize("identity", ["", "i 1", "i-1\r\nx: y", "\u00e9"])
+def test_registration_with_an_unusable_identity_is_refused(identity):
+    """Guards against an identity that splits a header or cannot be encoded."""
+    change = kvstore.decode_item(make_item(f"servers/{identity}", REGISTRATION))
+    assert isinstance(change, registry.InvalidValue)
+
+
 @pytest.mark.parametrize("value", ["%%%", "AAAA", "", 5, None])
 def test_undecodable_registration_is_refused(value):
     """Guards against a value that is not base64 or JSON and stops the store watch."""
@@ -196,7 +206,15 @@
 
 @pytest.mark.parametrize(
     "invalid_fields",
-    [{"version": "7"}, {"routes": [{}]}, {"limits": None}, {"services": 1}],
+    [
+        {"version": "7"},
+        {"routes": [{}]},
+        {"limits": None},
+        {"services": 1},
+        {"routes": [{**ROUTE, "service": "s1", "max_attempts": "2"}]},
+        {"routes": [{**ROUTE, "fan_out_services": [[]], "top_k": 1}]},
+        {"routes": [{**ROUTE, "traffic_split": [{"service": "s1", "weight": 0}]}]},
+    ],
 )
 def test_invalid_deployment_is_refused(invalid_fields):
     """Guards against a deployment in force although a field is invalid."""
@@ -323,23 +341,27 @@
 
 
 SIGNED = (b"X-Server-Stamp", b"s")
+OWN = (b"X-Request-Id", b"9c41")
+OTHER = (b"X-Request-Id", b"else")
 
 
 @pytest.mark.parametrize(
     ("status", "fields", "kind"),
     [
-        (421, [(b"X-Instance-Id", b"i-2")], forwarding.FailureKind.WRONG_SERVER),
-        (503, [(b"X-Not-Executed", b"1")], forwarding.FailureKind.SHED),
-        (503, [SIGNED], forwarding.FailureKind.CONNECTION_LOST),
-        (200, [], forwarding.FailureKind.MALFORMED_REPLY),
-        (
-            200,
-            [SIGNED, (b"X-Request-Id", b"else")],
-            forwarding.FailureKind.MALFORMED_REPLY,
-        ),
+        (421, [OWN, (b"X-Instance-Id", b"i-2")], forwarding.FailureKind.WRONG_SERVER),
+        (503, [OWN, (b"X-Not-Executed", b"1")], forwarding.FailureKind.SHED),
+        (503, [OWN, SIGNED], forwarding.FailureKind.CONNECTION_LOST),
+        (200, [OWN], forwarding.FailureKind.MALFORMED_REPLY),
+        (200, [SIGNED, OTHER], forwarding.FailureKind.OTHER_REQUEST),
+        (421, [OTHER], forwarding.FailureKind.OTHER_REQUEST),
+        (503, [OTHER, (b"X-Not-Executed", b"1")], forwarding.FailureKind.OTHER_REQUEST),
+        (200, [SIGNED], forwarding.FailureKind.MALFORMED_REPLY),
+        (421, [], forwarding.FailureKind.MALFORMED_REPLY),
+        (503, [(b"X-Not-Executed", b"1")], forwarding.FailureKind.MALFORMED_REPLY),
+        (200, [SIGNED, OWN, OTHER], forwarding.FailureKind.MALFORMED_REPLY),
         (
             200,
-            [SIGNED, (b"Content-Encoding", b"gzip")],
+            [OWN, SIGNED, (b"Content-Encoding", b"gzip")],
             forwarding.FailureKind.MALFORMED_REPLY,
         ),
     ],
--- a/tests/test_backendclient.py
+++ b/tests/test_backendclient.py
@@ -1,5 +1,6 @@
 """Tests for acacialatch.backendclient, over loopback sockets."""
 
+import contextlib
 import functools
 
 import pytest
@@ -37,6 +38,32 @@
             return await self.receiver.receive()
 
 
+class IdentityProtocol(FixedRequestProtocol):
+    """Takes the body of a reply for the identifier of its request."""
+
+    def decode(self, send, status, fields, body):
+        if body.decode() != send.request.identity:
+            return forwarding.SendFailure(forwarding.FailureKind.OTHER_REQUEST)
+        return forwarding.Reply(status, "s", (), body)
+
+
+async def send_endlessly(stream, start, repeated):
+    """Answer the first request with bytes that have no end, until the client closes."""
+    async with stream:
+        await stream.receive_some(65536)
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(start)
+            while True:
+                await stream.send_all(repeated)
+
+
+async def serve_once(nursery, handler):
+    """Return the address of a server that handles each connection by itself."""
+    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    nursery.start_soon(trio.serve_listeners, handler, [listener])
+    return f"127.0.0.1:{listener.socket.getsockname()[1]}"
+
+
 async def send_replies(stream, replies, accepted, close_after):
     accepted.append(stream)
     async with stream:
@@ -68,8 +95,8 @@
         self.address = f"127.0.0.1:{listener.socket.getsockname()[1]}"
 
 
-def make_send(number, address, needs_live_connection=False):
-    request = forwarding.Request("r", "a", "GET", "/", "/", (), b"", 1.0)
+def make_send(number, address, needs_live_connection=False, identity="r"):
+    request = forwarding.Request(identity, "a", "GET", "/", "/", (), b"", 1.0)
     return forwarding.Send(number, address, "i", request, 1.0, needs_live_connection, 4)
 
 
@@ -171,3 +198,182 @@
             await trio.sleep(0.001)
     client.cancel(1)
     assert client.connections == 0
+
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED_HEAD = HEAD + b"transfer-encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("start", "repeated"),
+    [
+        (b"", b"\xf0" * 40_000),
+        (b"", b"\r\n" * 20_000),
+        (HEAD + b"a: ", b"x" * 40_000),
+        (HEAD, b"a: b\r\n" * 5_000),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2_000),
+        (HEAD + b"\r\n", b"x" * 40_000),
+        (HEAD + b"content-length: 99999999999\r\n\r\n", b"x" * 40_000),
+        (CHUNKED_HEAD + b"1;", b"x" * 40_000),
+        (CHUNKED_HEAD + b"0\r\na: ", b"x" * 40_000),
+        (CHUNKED_HEAD, b"1\r\nx\r\n" * 6_000),
+    ],
+    ids=[
+        "no HTTP",
+        "empty lines",
+        "field value",
+        "fields",
+        "interim replies",
+        "body without length",
+        "body",
+        "chunk extension",
+        "trailer",
+        "small chunks",
+    ],
+)
+async def test_endless_reply_is_given_up(nursery, start, repeated):
+    """Guards against a server whose reply has no end and takes memory and time."""
+    handler = functools.partial(send_endlessly, start=start, repeated=repeated)
+    address, collector = await serve_once(nursery, handler), OutcomeCollector()
+    client = backendclient.BackendClient(FixedRequestProtocol(), collector, nursery)
+    client.send(make_send(1, address))
+    other = BackendStandIn(nursery)
+    await other.serve([COMPLETE_REPLY])
+    client.send(make_send(2, other.address))
+    outcomes = dict([await collector.next(), await collector.next()])
+    assert outcomes[1].kind is forwarding.FailureKind.MALFORMED_REPLY
+    assert outcomes[2].body == b"ok"
+    assert client.connections == 1
+
+
+async def test_endless_bytes_after_a_reply_close_the_connection(nursery):
+    """Guards against bytes after a complete reply that are collected without end."""
+    handler = functools.partial(
+        send_endlessly, start=COMPLETE_REPLY, repeated=b"x" * 40_000
+    )
+    address, collector = await serve_once(nursery, handler), OutcomeCollector()
+    client = backendclient.BackendClient(FixedRequestProtocol(), collector, nursery)
+    client.send(make_send(1, address))
+    assert (await collector.next())[1].body == b"ok"
+    with trio.fail_after(5):
+        while client.connections:
+            await trio.sleep(0.001)
+
+
+async def test_replies_in_progress_share_one_limit(nursery, monkeypatch):
+    """Guards against many large replies that together exceed the memory."""
+    monkeypatch.setattr(backendclient, "REPLIES_BYTES_MAX", 1 << 20)
+    start = HEAD + b"content-length: 7000000\r\n\r\n"
+    handler = functools.partial(send_endlessly, start=start, repeated=b"x" * 40_000)
+    address, collector = await serve_once(nursery, handler), OutcomeCollector()
+    client = backendclient.BackendClient(FixedRequestProtocol(), collector, nursery)
+    for number in range(5):
+        client.send(make_send(number, address))
+    for left in (4, 3, 2, 1):
+        _, failure = await collector.next()
+        assert failure.kind is forwarding.FailureKind.MALFORMED_REPLY
+        assert client.connections == left
+
+
+async def test_trailer_is_no_header_field(nursery):
+    """Guards against a trailer that claims that the request has not run."""
+    seen = []
+
+    class FieldProtocol(FixedRequestProtocol):
+        def decode(self, send, status, fields, body):
+            seen.extend(fields)
+            return forwarding.Reply(status, "s", (), body)
+
+    reply = CHUNKED_HEAD + b"2\r\nok\r\n0\r\nx-not-run: 1\r\n\r\n"
+    backend, collector = BackendStandIn(nursery), OutcomeCollector()
+    await backend.serve([reply])
+    client = backendclient.BackendClient(FieldProtocol(), collector, nursery)
+    client.send(make_send(1, backend.address))
+    assert (await collector.next())[1].body == b"ok"
+    assert [name for name, _ in seen] == [b"transfer-encoding"]
+
+
+def make_reply(body):
+    return HEAD + b"content-length: %d\r\n\r\n" % len(body) + body
+
+
+async def test_late_reply_to_an_earlier_request_is_skipped(nursery):
+    """Guards against the answer of another request, and against its loss."""
+    backend, collector = BackendStandIn(nursery), OutcomeCollector()
+    await backend.serve(
+        [make_reply(b"a"), make_reply(b"a") + make_reply(b""), make_reply(b"c")]
+    )
+    client = backendclient.BackendClient(IdentityProtocol(), collector, nursery)
+    client.send(make_send(1, backend.address, identity="a"))
+    assert (await collector.next())[1].body == b"a"
+    # The extra reply and the beginning of another message arrive together.
+    client.send(make_send(2, backend.address, identity="b"))
+    failure = (await collector.next())[1]
+    assert failure.kind is forwarding.FailureKind.OTHER_REQUEST
+    assert client.connections == 0
+
+
+async def test_reply_after_a_late_one_is_delivered(nursery):
+    """Guards against a request that fails because of an extra reply before its own."""
+
+    async def reply_late(stream):
+        await stream.receive_some(65536)
+        await stream.send_all(make_reply(b"a"))
+        await stream.receive_some(65536)
+        await stream.send_all(make_reply(b"a"))
+        await trio.sleep(0.02)
+        await stream.send_all(make_reply(b"b"))
+        await trio.sleep_forever()
+
+    address, collector = await serve_once(nursery, reply_late), OutcomeCollector()
+    client = backendclient.BackendClient(IdentityProtocol(), collector, nursery)
+    for number, identity in enumerate("ab"):
+        client.send(make_send(number, address, identity=identity))
+        assert (await collector.next())[1].body == identity.encode()
+    assert client.opened == 1
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1:99999", "127.0.0.1:port", "no host:1"])
+async def test_address_that_cannot_be_used_fails_only_its_send(nursery, address):
+    """Guards against a registration that ends the process."""
+    collector = OutcomeCollector()
+    client = backendclient.BackendClient(FixedRequestProtocol(), collector, nursery)
+    client.send(make_send(1, address))
+    assert (await collector.next())[1].kind is forwarding.FailureKind.NOT_SENT
+
+
+class FailingProtocol(FixedRequestProtocol):
+    """Raises unexpected exceptions."""
+
+    def decode(self, send, status, fields, body):
+        raise RuntimeError("defect")
+
+
+class FailingReceiver(backendclient.Receiver):
+    """Raises unexpected exceptions."""
+
+    def handle_reply(self, number, reply):
+        raise RuntimeError("defect")
+
+    def handle_failure(self, number, failure):
+        raise RuntimeError("defect")
+
+
+async def test_unexpected_error_fails_only_its_send(nursery):
+    """Guards against an exception in one reply that ends the process."""
+    backend, collector = BackendStandIn(nursery), OutcomeCollector()
+    await backend.serve([COMPLETE_REPLY])
+    seen = []
+    client = backendclient.BackendClient(
+        FailingProtocol(), collector, nursery, seen.append
+    )
+    client.send(make_send(1, backend.address))
+    failure = (await collector.next())[1]
+    assert failure.kind is forwarding.FailureKind.CONNECTION_LOST
+    client = backendclient.BackendClient(
+        FixedRequestProtocol(), FailingReceiver(), nursery, seen.append
+    )
+    client.send(make_send(2, backend.address))
+    with trio.fail_after(5):
+        while len(seen) < 2:
+            await trio.sleep(0.001)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -11,6 +11,7 @@
     "wrong_server": forwarding.FailureKind.WRONG_SERVER,
     "cut": forwarding.FailureKind.CONNECTION_LOST,
     "garbled": forwarding.FailureKind.MALFORMED_REPLY,
+    "other_request": forwarding.FailureKind.OTHER_REQUEST,
 }
 
 
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -157,3 +157,47 @@
     server = httpserver.Server(echo, make_error_response, read_limits=lambda: limits)
     stream = await open_connection(nursery, server)
     assert b"request_timeout" in await exchange(stream, GET[:10], b"request_timeout")
+
+
+async def test_request_of_a_connection_not_yet_accepted_is_answered(nursery):
+    """Guards against a planned stop that cuts off requests sent just before it."""
+    server = httpserver.Server(echo, make_error_response)
+    listener = await httpserver.listen("127.0.0.1:0")
+    host, port = listener.socket.getsockname()[:2]
+    streams = [await trio.open_tcp_stream(host, port) for _ in range(3)]
+    for stream in streams:
+        await stream.send_all(GET)
+    accepting = trio.CancelScope()
+    accepting.cancel()
+    server.announce_close()
+    server.close_idle()
+    await httpserver.serve_until_cancelled(server, listener, accepting, nursery)
+    for stream in streams:
+        reply = await exchange(stream, b"", b"zone=nadi 0")
+        assert b"200" in reply
+        assert b"connection: close" in reply.lower()
+
+
+async def test_request_that_crosses_the_close_of_an_idle_connection_is_answered(
+    nursery,
+):
+    """Guards against a planned stop that drops a request in the receive buffer."""
+    server = httpserver.Server(echo, make_error_response)
+    stream = await open_connection(nursery, server)
+    await exchange(stream, GET, b"zone=nadi 0")
+    server.announce_close()
+    server.close_idle()
+    assert b"200" in await exchange(stream, GET, b"zone=nadi 0")
+
+
+async def test_response_that_cannot_be_sent_ends_only_its_connection(nursery):
+    """Guards against a header field of a reply that ends the process."""
+    seen = []
+
+    async def answer_badly(request: httpserver.Request) -> httpserver.Response:
+        return httpserver.Response(200, b"", ((b"a", b"b\x0bc\n"),))
+
+    server = httpserver.Server(answer_badly, make_error_response, seen.append)
+    stream = await open_connection(nursery, server)
+    assert await exchange(stream, GET, b"never") == b""
+    assert len(seen) == 1
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -157,3 +157,39 @@
     """Guards against shares that are too large right after a start."""
     fleet = Fleet(3)
     assert fleet.tables["10.0.0.0:7"].count_sharing(0.0) == 3
+
+
+def test_ended_instance_is_not_revived_by_instances_that_start():
+    """Guards against an instance that has ended and is passed on during a restart."""
+    fleet = Fleet(8)
+    fleet.run(10.0)
+    del fleet.tables["10.0.0.1:7"]
+    ended_at = fleet.now
+    for index in (2, 3, 4, 5, 6, 7, 0):
+        address = f"10.0.0.{index}:7"
+        own = fleet.tables[address].own._replace(incarnation=2, heartbeat=0)
+        fleet.tables[address] = members.MemberTable(
+            own, ("10.0.0.0:7", "10.0.0.2:7"), 50 + index
+        )
+        fleet.run(1.5)
+        if fleet.now - ended_at > members.LIVENESS_TIMEOUT_S + 2.0:
+            advertised = fleet.list_advertised()
+            assert all("entry-1" not in names for names in advertised)
+
+
+@pytest.mark.parametrize("value", [-1, members.COUNTER_MAX + 1, (1 << 64) - 1])
+def test_counter_out_of_range_is_refused(value):
+    """Guards against a digest after which the own digest cannot be encoded."""
+    member = members.Member("entry-1", value, 0, "c", "g", "z", True)
+    data = msgspec.msgpack.encode(members.Digest([member], [], False))
+    with pytest.raises(msgspec.ValidationError):
+        msgspec.msgpack.decode(data, type=members.Digest)
+
+
+def test_own_counters_stay_in_range():
+    """Guards against an instance that others cannot decode any more."""
+    table = Fleet(1).tables["10.0.0.0:7"]
+    later = table.own._replace(incarnation=members.COUNTER_MAX)
+    table.merge_digest(0.0, members.Digest([later], [], False))
+    data = msgspec.msgpack.encode(table.make_digest(1.0))
+    assert msgspec.msgpack.decode(data, type=members.Digest).members[0].name
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -1,5 +1,6 @@
 """Tests of the platform clients against the stand-in and against faulty servers."""
 
+import contextlib
 import functools
 
 import msgspec
@@ -151,3 +152,24 @@
     await listeners[0].aclose()
     source = sources.HttpConfigurationSource(f"127.0.0.1:{port}")
     assert (await source.read(0, 0.0)).unwrap_err().kind == Kind.UNREACHABLE
+
+
+@pytest.mark.parametrize(
+    "repeated",
+    [b"HTTP/1.1 100 Continue\r\n\r\n" * 1000, b"a: b\r\n" * 5000],
+)
+async def test_endless_answer_is_given_up(nursery, repeated):
+    """Guards against an answer without end that takes the time of other requests."""
+
+    async def answer_endlessly(stream):
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(b"HTTP/1.1 100 Continue\r\n\r\n")
+            while True:
+                await stream.send_all(repeated)
+
+    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    nursery.start_soon(trio.serve_listeners, answer_endlessly, [listener])
+    port = listener.socket.getsockname()[1]
+    with trio.fail_after(TEST_TIMEOUT_S):
+        answer = await sources.fetch(f"127.0.0.1:{port}", "/", 1000, 60.0)
+    assert answer.err_value.kind is Kind.MALFORMED
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -173,3 +173,19 @@
     start_watcher(nursery, scripted)
     await trio.sleep(9.0)
     assert scripted.reads <= 9.0 / 0.45 + 1
+
+
+async def test_change_that_cannot_be_applied_does_not_end_the_watch(
+    nursery, autojump_clock
+):
+    """Guards against one unexpected value of the store that ends the process."""
+    scripted = ScriptedStore()
+    scripted.watches.append(result.Ok(registry.Changes(2, (None,))))
+    core = start_watcher(nursery, scripted)
+    await trio.sleep(1.0)
+    later = registry.Changes(3, (make_deployment(2, 3),))
+    scripted.content = result.Ok(later)
+    scripted.watches.append(result.Ok(later))
+    await trio.sleep(5.0)
+    assert core.deployment.version == 2
+    assert scripted.reads >= 2
