Keep requests in their zone after pauses, and give back shards for good

Choice of servers and hedges (scoring, hedging). Each request that one pause of 250 ms held up counted as a slow reply, so that the replica was avoided for seconds.

Shards of a batch that are given back (forwarder). Change: the peer fails such a shard when it replies. Measured: a test, red without the change.

--- a/acacialatch/backends.py
+++ b/acacialatch/backends.py
@@ -5,23 +5,7 @@
 import math
 import typing
 
-OBSERVATION_WEIGHT = 0.3
-"""Weight of the newest observation in the averages of slowness and error rate."""
-
-SLOWNESS_MAX = 8.0
-"""Largest slowness recorded for one reply, so that one pause has no lasting effect."""
-
-OBSERVATION_DECAY_S = 3.0
-"""Time constant in seconds with which slowness and error rate decay."""
-
-ERROR_FACTOR = 4.0
-"""Added to the score of a server whose error rate is 1, as a multiple of the score."""
-
-STALL_PENALTY = 3.0
-"""Added to the score while a request is open for longer than its hedge delay."""
-
-OTHER_ZONE_PENALTY = 1.0
-"""Added to the score of a server in another availability zone."""
+from acacialatch import scoring
 
 RETRY_DELAY_MIN_S = 0.25
 RETRY_DELAY_MAX_S = 2.0
@@ -81,12 +65,8 @@
         Time at which it has warmed up, in seconds.
     in_flight : int
         Open requests of this process.
-    slowness : float
-        Average of the latencies relative to the median of their routes.
-    error_rate : float
-        Average of the failures, from 0 to 1.
-    observed_at : float
-        Time of the last observation, from which both averages decay.
+    reputation : scoring.Reputation
+        How slow and how reliable the server has been.
     stall_times : dict of int to float
         For each open request, by its number, the time from which it counts as stalled.
     retry_at : float
@@ -106,9 +86,7 @@
     entry: Entry
     cold_until: float
     in_flight: int = 0
-    slowness: float = 1.0
-    error_rate: float = 0.0
-    observed_at: float = -math.inf
+    reputation: scoring.Reputation = scoring.NEW
     stall_times: dict[int, float] = dataclasses.field(default_factory=dict)
     retry_at: float = -math.inf
     retry_delay_s: float = 0.0
@@ -130,20 +108,26 @@
         )
 
     def score(self, now: float, zone: str) -> float:
-        """Return the expected cost of one more request; lower is better.
+        """Return the expected cost of one more request; see `scoring.compute_score`.
 
-        The slowness is multiplied by the load and by the error rate. Open requests
-        that are late and traffic between availability zones add to it.
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        zone : str
+            Availability zone of this entry instance.
         """
-        decay = math.exp((self.observed_at - now) / OBSERVATION_DECAY_S)
-        slowness = 1 + (self.slowness - 1) * decay
-        score = slowness * (1 + self.in_flight / max(1, self.entry.slots))
-        score *= 1 + ERROR_FACTOR * self.error_rate * decay
-        if self.is_stalled(now):
-            score += STALL_PENALTY
-        if self.entry.zone != zone:
-            score += OTHER_ZONE_PENALTY
-        return score
+        slowness, error_rate, _ = self.reputation.decay(now)
+        return scoring.compute_score(
+            scoring.Standing(
+                slowness,
+                error_rate,
+                self.in_flight,
+                self.entry.slots,
+                self.is_stalled(now),
+                self.entry.zone == zone,
+            )
+        )
 
     def is_stalled(self, now: float) -> bool:
         """Return whether any open request takes longer than expected."""
@@ -159,14 +143,14 @@
         if self.stall_times.pop(number, None) is not None:
             self.in_flight -= 1
 
-    def record_success(self, now: float, ratio: float) -> None:
-        """Record a reply that took `ratio` times the median latency of its route."""
-        self._observe(now, min(SLOWNESS_MAX, max(0.25, ratio)), 0.0)
+    def record_success(self, now: float, ratio: float, started: float) -> None:
+        """Record a reply; see `scoring.Reputation.add_success`."""
+        self.reputation = self.reputation.add_success(now, ratio, started)
         self.retry_delay_s = 0.0
 
     def record_error(self, now: float) -> None:
         """Record a request that failed after it reached the server."""
-        self._observe(now, self.slowness, 1.0)
+        self.reputation = self.reputation.add_error(now)
 
     def record_unreachable(self, now: float) -> None:
         """Record that the server was not reached; pause before the next attempt."""
@@ -175,15 +159,6 @@
         self.retry_at = now + delay_s
         self.record_error(now)
 
-    def _observe(self, now: float, slowness: float, error: float) -> None:
-        """Update both averages after their decay since the last observation."""
-        decay = math.exp((self.observed_at - now) / OBSERVATION_DECAY_S)
-        previous = 1 + (self.slowness - 1) * decay
-        self.slowness = previous + OBSERVATION_WEIGHT * (slowness - previous)
-        previous = self.error_rate * decay
-        self.error_rate = previous + OBSERVATION_WEIGHT * (error - previous)
-        self.observed_at = now
-
 
 class BackendTable:
     """Registered backend servers by service.
--- a/acacialatch/forwarder.py
+++ b/acacialatch/forwarder.py
@@ -17,23 +17,12 @@
     errors,
     exchanges,
     forwarding,
+    hedging,
     latencies,
     placement,
     resends,
 )
 
-HEDGE_MEDIAN_FACTOR = 1.8
-"""Hedge delay as a multiple of the median latency of the route."""
-
-HEDGE_DELAY_MAX_SHARE = 0.3
-"""Largest hedge delay for a shard, as a share of the latency objective."""
-
-SINGLE_HEDGE_DELAY_MAX_SHARE = 0.5
-"""Largest hedge delay for a request to one service, as a share of the objective.
-
-Such a request may be slow by nature, so that it is hedged later than a shard.
-"""
-
 RECHECK_INTERVAL_S = 0.01
 """Interval in seconds at which a call without a usable server looks for one again."""
 
@@ -376,7 +365,7 @@
         still reply are hedged and the rest is asked for; the others are retried.
         """
         exchange, batch_call = self._end_batch_call(number)
-        batch_call.peer.record_success(now, 1.0)
+        batch_call.peer.record_success(now, 1.0, now)
         batch_call.acknowledged = True
         if exchange.answered:
             return []
@@ -807,19 +796,15 @@
         )
 
     def _compute_hedge_delay(self, route: deployment.Route) -> float:
-        """Return the time in seconds after which an attempt on a route is hedged.
-
-        It follows the median latency of the route, up to a share of the objective;
-        with too few latencies it is that share.
-        """
-        is_sharded = isinstance(route.target, deployment.ShardTarget)
-        share = HEDGE_DELAY_MAX_SHARE if is_sharded else SINGLE_HEDGE_DELAY_MAX_SHARE
-        delay_max_s = share * route.objective_s
+        """Return the time in seconds after which an attempt on a route is hedged."""
         window = self._latency_windows.get(route.name)
-        median = window.median() if window is not None else None
-        if median is None:
-            return delay_max_s
-        return min(delay_max_s, HEDGE_MEDIAN_FACTOR * median)
+        return hedging.compute_delay(
+            hedging.Pace(
+                route.objective_s,
+                window.median() if window is not None else None,
+                isinstance(route.target, deployment.ShardTarget),
+            )
+        )
 
     def _record_latency(
         self, now: float, route_name: str, backend: backends.Backend, latency_s: float
@@ -829,7 +814,8 @@
         if window is None:
             window = self._latency_windows[route_name] = latencies.LatencyWindow()
         median = window.median()
-        backend.record_success(now, latency_s / median if median else 1.0)
+        ratio = latency_s / median if median else 1.0
+        backend.record_success(now, ratio, now - latency_s)
         window.add(latency_s)
 
     def _detach_attempts(
@@ -881,7 +867,7 @@
             window = self._latency_windows.get(route_name)
             median = window.median() if window is not None else None
             if median:
-                backend.record_success(now, (now - started) / median)
+                backend.record_success(now, (now - started) / median, started)
         else:
             backend.record_error(now)
 
@@ -942,6 +928,11 @@
                 actions += self._discard(now, exchange, "rest not asked for")
         elif exchange.is_finished or due:
             reply = exchange.make_batch_reply(target.records_max)
+            # The instance with the caller now calls the shards that are not in flight;
+            # they must not run here as well.
+            for call in exchange.calls:
+                if not call.is_finished and not call.open_attempts:
+                    self._fail_call(exchange, call, "given back")
             if any(shard.pending for shard in reply.open):
                 exchange.awaits_continuation = True
                 exchange.batch_due_at = now + GRACE_PERIOD_S
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -703,6 +703,22 @@
     assert harness.core.open_count == 0
 
 
+def test_shard_given_back_by_a_batch_is_not_sent_afterwards():
+    """Guards against a shard that also runs where its caller's instance sent it."""
+    harness = ForwarderHarness()
+    for server in harness.core.backends.list_servers("shard-3"):
+        server.shed_until = harness.now + 0.1
+    number = accept_batch_of(harness)
+    for service in SHARDS[:2]:
+        harness.reply(*harness.find_sends(service), make_reply(b"a" * 16))
+    harness.advance_to(harness.now + 0.05)
+    pending = {one.index: one.pending for one in harness.answers[number].open}
+    assert pending == {2: True, 3: False}
+    accept_continuation_of(harness, number, wait_s=0.4)
+    harness.advance_to(harness.now + 0.3)
+    assert harness.find_sends("shard-3") == []
+
+
 def test_replies_before_the_continuation_are_returned_at_once():
     """Guards against the loss of replies between a batch reply and its continuation."""
     harness = ForwarderHarness()
