Split sends and batches from the forwarder; read the store less often while idle

Change: AttemptSender (sending) holds attempts, limits, budgets, hedges and retries; BatchSender (batching) the batches; the draw of services moved to deployment. No decision changed.

Change: an instance with next to no load pauses 0.45 instead of 0.15 of the bound after a change; its next watch is shorter by as much.

--- a/acacialatch/deployment.py
+++ b/acacialatch/deployment.py
@@ -1,6 +1,7 @@
 """Deployment of the query tier: routes, services and limits."""
 
 import enum
+import random
 import typing
 
 RECORD_BYTES = 16
@@ -53,6 +54,25 @@
 Target = SingleTarget | SplitTarget | ShardTarget
 
 
+def choose_services(target: Target, source: random.Random) -> tuple[str, ...]:
+    """Return the services to call for one request: one, or all shards.
+
+    Parameters
+    ----------
+    target : Target
+        Target of the route.
+    source : random.Random
+        Source of the draw among the parts of a split.
+    """
+    if isinstance(target, SingleTarget):
+        return (target.service,)
+    if isinstance(target, SplitTarget):
+        names = [name for name, _ in target.shares]
+        weights = [weight for _, weight in target.shares]
+        return (source.choices(names, weights)[0],)
+    return target.services
+
+
 class Route(typing.NamedTuple):
     """Handling of the requests for one host and path prefix.
 
--- a/acacialatch/entryinstance.py
+++ b/acacialatch/entryinstance.py
@@ -48,6 +48,12 @@
 HOUSEKEEPING_PERIOD_S = 0.25
 """Period of the work that no event starts, in seconds."""
 
+IDLE_LOAD_CORES = 0.003
+"""Load in processor cores below which an instance reads the store less often."""
+
+IDLE_AFTER_S = 8.0
+"""Time in seconds after the start from which an instance may count as idle."""
+
 BATCHES_PER_CORE_MAX = 8
 """Concurrent batches per processor core that an entry instance handles undelayed."""
 
@@ -183,6 +189,7 @@
         self._settings = settings
         self._interfaces = interfaces
         self._reload = reload
+        self._started_at = trio.current_time()
         random_source = random.SystemRandom()
         self._forwarder = forwarder.Forwarder(
             settings.zone,
@@ -209,6 +216,7 @@
             self._registry,
             self._write_log_entries,
             settings.watch_s,
+            self._choose_read_pause,
             settings.pause_s,
         )
         self._load_meter = addresses.LoadMeter()
@@ -417,6 +425,18 @@
         except Exception as error:
             self._log_defect(error)
 
+    def _choose_read_pause(self) -> float:
+        """Return the pause between a change in the store and the next read, in seconds.
+
+        Most instances of a large fleet are not advertised and need what they read only
+        if others fail; all reads of the fleet count against the rate of the store.
+        """
+        running_s = trio.current_time() - self._started_at
+        is_idle = self._members.own.load < IDLE_LOAD_CORES
+        if running_s > IDLE_AFTER_S and is_idle:
+            return self._settings.idle_pause_s
+        return self._settings.pause_s
+
     def _apply_members(self) -> None:
         """Pass the number of entry instances and the peers to the forwarder."""
         now = trio.current_time()
--- a/acacialatch/entrysettings.py
+++ b/acacialatch/entrysettings.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from acacialatch import forwarder
+from acacialatch import sending
 
 
 class EntrySettings(typing.NamedTuple):
@@ -30,7 +30,9 @@
         Longest wait of one read of changes from the store, in seconds.
     pause_s : float
         Pause between a change and the next read, in seconds.
-    budgets : forwarder.Budgets
+    idle_pause_s : float
+        The same while the instance has next to no requests, in seconds.
+    budgets : sending.Budgets
         Limits of repeated sends.
     address_lifetime_s : float
         Time for which callers may use the addresses that they looked up, in seconds.
@@ -52,7 +54,8 @@
     store_address: str
     watch_s: float
     pause_s: float
-    budgets: forwarder.Budgets
+    idle_pause_s: float
+    budgets: sending.Budgets
     address_lifetime_s: float
     capacity: float
     stop_s: float
--- a/acacialatch/store.py
+++ b/acacialatch/store.py
@@ -56,8 +56,11 @@
         Longest wait of one watch, in seconds. A watch that the store has lost goes
         unnoticed until it ends, so the wait must be shorter than the time within
         which changes must be in force.
-    pause_s : float
-        Pause after a change, in seconds, so that a series of changes takes few reads.
+    choose_pause : callable
+        Returns the pause after a change, in seconds, so that a series of changes takes
+        few reads. The next watch is shorter by what the pause exceeds the shortest one.
+    pause_min_s : float
+        Shortest pause in seconds.
     """
 
     def __init__(
@@ -66,13 +69,15 @@
         target: registry.Registry,
         on_change: typing.Callable[[list[forwarding.LogEntry]], None],
         watch_s: float,
-        pause_s: float,
+        choose_pause: typing.Callable[[], float],
+        pause_min_s: float,
     ):
         self._store = store
         self._registry = target
         self._on_change = on_change
         self._watch_wait_s = watch_s
-        self._pause_s = pause_s
+        self._choose_pause = choose_pause
+        self._pause_min_s = pause_min_s
         self._is_reachable = False
         self.reads = 0
         self.failures = 0
@@ -84,12 +89,14 @@
         """
         is_synchronized = False
         delay_s = RETRY_FIRST_S
+        pause_s = self._pause_min_s
         while True:
             self.reads += 1
             if is_synchronized:
-                answer = await self._store.watch(
-                    self._registry.revision, self._watch_wait_s
-                )
+                # A watch that the store has lost must end as soon as without a pause.
+                wait_s = self._watch_wait_s - (pause_s - self._pause_min_s)
+                pause_s = self._pause_min_s
+                answer = await self._store.watch(self._registry.revision, wait_s)
             else:
                 answer = await self._store.read_all()
             if isinstance(answer, result.Err):
@@ -117,7 +124,8 @@
             delay_s = RETRY_FIRST_S
             is_synchronized = True
             if changes.changes:
-                await trio.sleep(self._pause_s)
+                pause_s = max(self._pause_min_s, self._choose_pause())
+                await trio.sleep(pause_s)
 
     def _apply(self, changes: registry.Changes, is_synchronized: bool) -> None:
         """Apply the answer to a watch, or the whole content, and report it."""
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -128,6 +128,7 @@
     assert settings.capacity == pytest.approx(2.151)
     assert settings.watch_s + kvstore.CALL_TIMEOUT_S < 3.3
     assert settings.pause_s == pytest.approx(0.45)
+    assert settings.idle_pause_s == pytest.approx(1.35)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -10,7 +10,7 @@
 import pytest
 from hypothesis import stateful, strategies
 
-from acacialatch import backends, deployment, forwarder, forwarding, merging
+from acacialatch import backends, deployment, forwarder, forwarding, merging, sending
 
 ZONES = ("ba", "nadi", "suva")
 SHARDS = tuple(f"shard-{number}" for number in range(9))
@@ -32,7 +32,7 @@
     {name: deployment.Service(name, 40, 0.0) for name in SHARDS},
     deployment.CallerLimits(),
 )
-BUDGETS = forwarder.Budgets(0.2, 20.0, 10.0)
+BUDGETS = sending.Budgets(0.2, 20.0, 10.0)
 TIMER_STEPS_MAX = 2_000
 
 
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from acacialatch import backends, deployment, errors, forwarder, forwarding
+from acacialatch import backends, deployment, errors, forwarder, forwarding, sending
 
 SHARDS = ("shard-0", "shard-1", "shard-2", "shard-3")
 PAGE = deployment.Route(
@@ -58,7 +58,7 @@
     """Forwarder with a simulated clock, which keeps its open attempts and answers."""
 
     def __init__(self, replicas=2, budgets=None, deployment_in_force=DEPLOYMENT):
-        budgets = budgets or forwarder.Budgets(0.2, 50.0, 10.0)
+        budgets = budgets or sending.Budgets(0.2, 50.0, 10.0)
         self.core = forwarder.Forwarder("ba", budgets, 1)
         self.now = 100.0
         self.sends = {}
@@ -369,10 +369,10 @@
     harness = ForwarderHarness(replicas=1)
     for index in range(8):
         harness.submit("/lookup/1", identity=f"r-{index}")
-    assert len(harness.sends) == 3 + forwarder.SERVER_QUEUE_MAX
+    assert len(harness.sends) == 3 + sending.SERVER_QUEUE_MAX
     harness.reply(next(iter(harness.sends)))
     harness.advance_to(harness.now + 0.02)
-    assert len(harness.sends) == 3 + forwarder.SERVER_QUEUE_MAX
+    assert len(harness.sends) == 3 + sending.SERVER_QUEUE_MAX
 
 
 def test_hedges_leave_budget_for_retries():
@@ -380,7 +380,7 @@
 
     Slow lookups cause many hedges.
     """
-    harness = ForwarderHarness(replicas=8, budgets=forwarder.Budgets(0.2, 10.0, 10.0))
+    harness = ForwarderHarness(replicas=8, budgets=sending.Budgets(0.2, 10.0, 10.0))
     numbers = [harness.submit("/lookup/1", identity=f"r-{n}") for n in range(12)]
     harness.advance_to(harness.now + 0.9 * LOOKUP.objective_s)
     assert harness.core.counts["hedges_without_budget"] > 0
@@ -573,7 +573,7 @@
 
 def test_batch_without_budget_for_hedges_waits_for_its_reply():
     """Guards against shards that are given up when their hedge has no budget."""
-    budgets = forwarder.Budgets(0.0, 0.0, 10.0)
+    budgets = sending.Budgets(0.0, 0.0, 10.0)
     harness = RemoteHarness(zones=("nadi", "suva"), budgets=budgets)
     number = harness.submit("/page/1")
     harness.advance_to(harness.now + 0.6 * PAGE.objective_s)
@@ -746,7 +746,7 @@
     """Guards against batches that stay open when the peer has gone."""
     harness = ForwarderHarness()
     accept_batch_of(harness)
-    harness.advance_to(harness.now + 0.05 + forwarder.GRACE_PERIOD_S)
+    harness.advance_to(harness.now + 0.05 + sending.GRACE_PERIOD_S)
     assert (harness.sends, harness.core.open_count) == ({}, 0)
 
 
@@ -791,7 +791,7 @@
 )
 def test_log_says_why_a_failed_request_was_not_retried(path, ratio, reason):
     """Guards against failed requests whose cause is not in the log."""
-    harness = ForwarderHarness(budgets=forwarder.Budgets(ratio, 50.0 * ratio, 10.0))
+    harness = ForwarderHarness(budgets=sending.Budgets(ratio, 50.0 * ratio, 10.0))
     harness.submit(path)
     harness.fail(*harness.sends, forwarding.FailureKind.CONNECTION_LOST)
     (entry,) = harness.log_entries
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -3,7 +3,7 @@
 import pytest
 import test_forwarder
 
-from acacialatch import exchanges, forwarder, forwarding
+from acacialatch import exchanges, forwarding, sending
 
 KINDS = {
     "not_sent": forwarding.FailureKind.NOT_SENT,
@@ -141,6 +141,6 @@
     """Guards against a new name of the counter that is built from the log's text."""
     harness = test_forwarder.ForwarderHarness()
     test_forwarder.accept_batch_of(harness)
-    harness.advance_to(harness.now + 0.05 + forwarder.GRACE_PERIOD_S)
+    harness.advance_to(harness.now + 0.05 + sending.GRACE_PERIOD_S)
     assert harness.core.counts == {"rest_not_asked_for": 1}
     assert find_ended(harness)["outcome"] == "rest not asked for"
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from acacialatch import backends, deployment, forwarder, forwarding
+from acacialatch import backends, deployment, forwarder, forwarding, sending
 
 SHARDS = tuple(f"shard-{index}" for index in range(20))
 LOCAL_ZONE = "ba"
@@ -65,7 +65,7 @@
 def play_load(seed):
     """Play queries whose shards each have one replica in each of two zones."""
     source = random.Random(seed)
-    core = forwarder.Forwarder(LOCAL_ZONE, forwarder.Budgets(0.2, 50.0, 10.0), seed)
+    core = forwarder.Forwarder(LOCAL_ZONE, sending.Budgets(0.2, 50.0, 10.0), seed)
     services = {name: deployment.Service(name, 30, 0.0) for name in SHARDS}
     limits = deployment.CallerLimits()
     core.apply_deployment(deployment.Deployment(1, (ROUTE,), services, limits))
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,5 +1,6 @@
 """Tests of the watcher of the platform's store and of the registry."""
 
+import pytest
 import result
 import trio
 
@@ -9,6 +10,7 @@
     errors,
     forwarder,
     registry,
+    sending,
     store,
 )
 
@@ -31,6 +33,7 @@
     def __init__(self):
         self.content = result.Ok(registry.Changes(1, (make_deployment(1, 1),)))
         self.watches = []
+        self.waits = []
         self.reads = 0
 
     async def read_all(self):
@@ -39,6 +42,7 @@
         return self.content
 
     async def watch(self, after, wait_s):
+        self.waits.append(wait_s)
         if self.watches:
             await trio.sleep(0.004)
             return self.watches.pop(0)
@@ -46,10 +50,15 @@
         return result.Ok(registry.Changes(after, ()))
 
 
-def start_watcher(nursery, scripted):
-    core = forwarder.Forwarder("ba", forwarder.Budgets(), 1)
+def start_watcher(nursery, scripted, pause_s=0.45):
+    core = forwarder.Forwarder("ba", sending.Budgets(), 1)
     watcher = store.StoreWatcher(
-        scripted, registry.Registry(core), lambda log_entries: None, 2.4, 0.45
+        scripted,
+        registry.Registry(core),
+        lambda log_entries: None,
+        2.4,
+        lambda: pause_s,
+        0.45,
     )
     nursery.start_soon(watcher.run)
     return core
@@ -109,7 +118,7 @@
 
 def test_missing_registration_is_kept_for_a_grace_period_after_an_outage():
     """Guards against losing live servers whose registrations expired in an outage."""
-    core = forwarder.Forwarder("ba", forwarder.Budgets(), 1)
+    core = forwarder.Forwarder("ba", sending.Budgets(), 1)
     target = registry.Registry(core)
     target.apply_snapshot(1.0, registry.Changes(2, (make_backend("a", 2),)))
     target.record_contact(10.0, True)
@@ -121,7 +130,7 @@
 
 def test_registration_that_returns_after_an_outage_counts_again():
     """Guards against removing a server that registered again in the grace period."""
-    core = forwarder.Forwarder("ba", forwarder.Budgets(), 1)
+    core = forwarder.Forwarder("ba", sending.Budgets(), 1)
     target = registry.Registry(core)
     target.apply_snapshot(1.0, registry.Changes(2, (make_backend("a", 2),)))
     target.record_contact(10.0, True)
@@ -133,7 +142,7 @@
 
 def test_removed_server_gets_no_work_at_once():
     """Guards against a grace period for removals without an outage."""
-    core = forwarder.Forwarder("ba", forwarder.Budgets(), 1)
+    core = forwarder.Forwarder("ba", sending.Budgets(), 1)
     target = registry.Registry(core)
     target.record_contact(1.0, False)
     target.apply_snapshot(1.0, registry.Changes(2, (make_backend("a", 2),)))
@@ -143,7 +152,7 @@
 
 def test_zone_out_of_service_gets_no_work_until_it_is_back():
     """Guards against work for a zone that is out of service, or none afterwards."""
-    core = forwarder.Forwarder("ba", forwarder.Budgets(), 1)
+    core = forwarder.Forwarder("ba", sending.Budgets(), 1)
     target = registry.Registry(core)
     out = registry.ZoneOut("out/ba", 3, "ba")
     target.apply_snapshot(1.0, registry.Changes(3, (make_backend("a", 2), out)))
@@ -189,3 +198,29 @@
     await trio.sleep(5.0)
     assert core.deployment.version == 2
     assert scripted.reads >= 2
+
+
+async def test_watch_after_a_longer_pause_is_shorter(nursery, autojump_clock):
+    """Guards against a change that is in force too late if the store loses a watch."""
+    scripted = ScriptedStore()
+    scripted.watches.append(result.Ok(registry.Changes(2, (make_deployment(2, 2),))))
+    start_watcher(nursery, scripted, pause_s=1.35)
+    await trio.sleep(10.0)
+    assert scripted.waits[:3] == pytest.approx([1.5, 1.5, 2.4])
+
+
+async def test_idle_instance_reads_a_series_of_changes_less_often(
+    nursery, autojump_clock
+):
+    """Guards against a large fleet whose idle instances use up the store's rate."""
+    reads = []
+    for pause_s in (0.45, 1.35):
+        scripted = ScriptedStore()
+        scripted.watches += [
+            result.Ok(registry.Changes(n, (make_deployment(n, n),)))
+            for n in range(2, 100)
+        ]
+        start_watcher(nursery, scripted, pause_s)
+        await trio.sleep(20.0)
+        reads.append(len(scripted.waits))
+    assert reads[1] < 0.5 * reads[0]
