--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -703,6 +703,22 @@
     assert harness.core.open_count == 0
 
 
+@pytest.mark.parametrize("path", ["/page/1", "/lookup/1", "/booking/1"])
+def test_server_that_is_silent_for_a_while_keeps_its_running_work(path):
+    """Guards against work that is started again or given up with its registration."""
+    harness = ForwarderHarness(replicas=1)
+    number = harness.submit(path)
+    sends = dict(harness.sends)
+    for send in sends.values():
+        harness.core.backends.remove(send.identity)
+    harness.advance_to(harness.now + 0.1)
+    assert harness.sends == sends
+    for send in sends:
+        harness.reply(send)
+    answer = harness.answers[number]
+    assert isinstance(answer, forwarding.MergedReply | forwarding.ForwardedReply)
+
+
 def test_shard_given_back_by_a_batch_is_not_sent_afterwards():
     """Guards against a shard that also runs where its caller's instance sent it."""
     harness = ForwarderHarness()
