--- a/acacialatch/backends.py
+++ b/acacialatch/backends.py
@@ -107,15 +107,15 @@
             and now < self.expires_at
         )
 
-    def score(self, now: float, zone: str) -> float:
+    def score(self, now: float, is_local: bool) -> float:
         """Return the expected cost of one more request; see `scoring.compute_score`.
 
         Parameters
         ----------
         now : float
             Time in seconds.
-        zone : str
-            Availability zone of this entry instance.
+        is_local : bool
+            Whether the server is in the availability zone of this process.
         """
         slowness, error_rate, _ = self.reputation.decay(now)
         return scoring.compute_score(
@@ -125,7 +125,7 @@
                 self.in_flight,
                 self.entry.slots,
                 self.is_stalled(now),
-                self.entry.zone == zone,
+                is_local,
             )
         )
 
@@ -276,12 +276,18 @@
         """
         best: Backend | None = None
         best_score = math.inf
-        for backend in self.list_servers(service):
-            if backend.entry.identity in excluded or not backend.is_usable(now):
-                continue
-            if not accepts(backend):
-                continue
-            score = backend.score(now, self._zone)
-            if score < best_score:
-                best, best_score = backend, score
+        servers = self.list_servers(service)
+        for is_local in (True, False):
+            if not is_local and best_score <= scoring.OTHER_ZONE_SCORE_MIN:
+                break
+            for backend in servers:
+                if (backend.entry.zone == self._zone) is not is_local:
+                    continue
+                if backend.entry.identity in excluded or not backend.is_usable(now):
+                    continue
+                if not accepts(backend):
+                    continue
+                score = backend.score(now, is_local)
+                if score < best_score:
+                    best, best_score = backend, score
         return best
--- a/acacialatch/scoring.py
+++ b/acacialatch/scoring.py
@@ -23,6 +23,9 @@
 one elsewhere: traffic between zones is dear, and a crossing adds to the latency.
 """
 
+OTHER_ZONE_SCORE_MIN = OTHER_ZONE_PENALTY + SLOWNESS_MIN
+"""Lowest possible score of a server in another availability zone."""
+
 STALL_PENALTY = 6.0
 """Added to the score while a request is open for longer than expected.
 
