--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,8 +2,8 @@
 
 `python -m bench [SEEDS]` compares latency, coverage and extra load of the product with
 those of the naive version. `python -m bench policies` compares replica choice and
-hedging alone. `python -m bench losses` and `python -m bench pairs` print tables from
-reports of the users' bench; see `bench.losses`. `python -m bench ablate` switches a
+hedging alone. `python -m bench losses`, `pairs` and `plot` read reports of the
+users' bench; see `bench.losses`. `python -m bench ablate` switches a
 mechanism off in a scratch copy; see `bench.ablation`.
 """
 
@@ -17,6 +17,7 @@
 COMMANDS = {
     "losses": losses.print_losses,
     "pairs": losses.print_pairs,
+    "plot": losses.plot_windows,
     "ablate": ablation.make_copy,
 }
 
--- a/bench/losses.py
+++ b/bench/losses.py
@@ -4,6 +4,7 @@
 loss by kind of request and reason, by zone, by time window and by price. The log is the
 output of the same run with `--log all`; it adds the decisions of the product.
 `python -m bench pairs BEFORE AFTER` compares two folders of reports with equal names.
+`python -m bench plot BEFORE AFTER FILE` draws the credit of two reports over the day.
 """
 
 import collections
@@ -14,6 +15,7 @@
 import typing
 
 import msgspec
+import pygal
 
 WINDOWS_SHOWN = 6
 """Number of time windows with the largest loss that are shown."""
@@ -304,3 +306,30 @@
         f"mean {statistics.mean(differences):+.4f}, "
         f"standard deviation {spread:.4f}, {len(differences)} pairs"
     )
+
+
+def plot_windows(before: str, after: str, file: str) -> None:
+    """Draw the credit of two reports of one day over its time windows, as SVG.
+
+    Parameters
+    ----------
+    before, after : str
+        Files of the reports.
+    file : str
+        SVG file to write.
+    """
+    chart = pygal.Line(
+        width=900,
+        height=360,
+        range=(0.0, 1.0),
+        dots_size=2,
+        legend_at_bottom=True,
+        js=(),
+        x_title="start of the window, s",
+        y_title="credit earned / owed",
+    )
+    first = read_report(before)
+    chart.x_labels = [window.name for window in first.windows]
+    for title, report in (("before", first), ("after", read_report(after))):
+        chart.add(title, [window.worth for window in report.windows])
+    chart.render_to_file(file)
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -120,3 +120,11 @@
     assert "mean +0.0500" in capsys.readouterr().out
     with pytest.raises(losses.ReportError):
         losses.print_pairs(str(tmp_path / "a"), str(tmp_path))
+
+
+def test_windows_are_drawn(tmp_path):
+    """Guards against a plot without one of the two reports."""
+    path = write(tmp_path, "x.json", json.dumps(REPORT))
+    plot = tmp_path / "x.svg"
+    losses.plot_windows(path, path, str(plot))
+    assert plot.read_text().count("series serie-") >= 2
