--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -28,7 +28,11 @@
 
 
 MECHANISMS = {
-    "hedges": Edit("now >= call.hedge_at", "False"),
+    "hedges": Edit(
+        "call.possible_runs >= exchange.route.attempts_max\n"
+        "            or now >= exchange.deadline",
+        "True",
+    ),
     "hedges after 2.5 medians": Edit("\nMEDIAN_FACTOR = 2.5", "\nMEDIAN_FACTOR = 1.8"),
     "score: slowness": Edit("score = standing.slowness *", "score = 1.0 *"),
     "score: load": Edit("(1 + standing.in_flight / max(1, standing.slots))", "1.0"),
