--- a/acacialatch/scoring.py
+++ b/acacialatch/scoring.py
@@ -13,8 +13,12 @@
 SLOWNESS_MAX = 8.0
 """Bounds of the slowness recorded for one reply."""
 
-ERROR_FACTOR = 4.0
-"""Added to the score of a server whose error rate is 1, as a multiple of the score."""
+ERROR_FACTOR = 12.0
+"""Added to the score of a server whose error rate is 1, as a multiple of the score.
+
+A server that fails a quarter of its requests loses them to one in another zone: each
+failure takes time and a part of the resend budget.
+"""
 
 OTHER_ZONE_PENALTY = 3.0
 """Added to the score of a server in another availability zone.
--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -36,7 +36,7 @@
     "hedges after 2.5 medians": Edit("\nMEDIAN_FACTOR = 2.5", "\nMEDIAN_FACTOR = 1.8"),
     "score: slowness": Edit("score = standing.slowness *", "score = 1.0 *"),
     "score: load": Edit("(1 + standing.in_flight / max(1, standing.slots))", "1.0"),
-    "score: errors": Edit("\nERROR_FACTOR = 4.0", "\nERROR_FACTOR = 0.0"),
+    "score: errors": Edit("\nERROR_FACTOR = 12.0", "\nERROR_FACTOR = 0.0"),
     "score: stalls": Edit("\nSTALL_PENALTY = 6.0", "\nSTALL_PENALTY = 0.0"),
     "score: zone": Edit("\nOTHER_ZONE_PENALTY = 3.0", "\nOTHER_ZONE_PENALTY = 0.0"),
     "pauses count once": Edit("ratio > 1.0 and started <= self.observed_at", "False"),
--- a/tests/test_scoring.py
+++ b/tests/test_scoring.py
@@ -45,6 +45,15 @@
     assert scoring.compute_score(slow) > scoring.compute_score(elsewhere)
 
 
+@pytest.mark.parametrize(("error_rate", "loses"), [(0.1, False), (0.3, True)])
+def test_server_that_sheds_often_loses_its_requests_to_another_zone(error_rate, loses):
+    """Guards against a resend budget spent on servers of the zone that refuse."""
+    shedding = NORMAL._replace(error_rate=error_rate)
+    elsewhere = NORMAL._replace(is_local=False)
+    local_score = scoring.compute_score(shedding)
+    assert (local_score > scoring.compute_score(elsewhere)) is loses
+
+
 def test_errors_count_against_a_server_and_fade():
     """Guards against a server that fails and is chosen first, or never again."""
     failed = scoring.NEW.add_error(1.0)
