Log the rate limits that backend servers name, and what was sent under them

Replies now carry the limit out of the adapter; a table counts the requests to each limited server by kind and logs when a limit begins, changes and ends. Nothing is bounded by it yet.

--- a/acacialatch/entryinstance.py
+++ b/acacialatch/entryinstance.py
@@ -549,6 +549,7 @@
                 "requests_open": float(self._forwarder.open_count),
                 "backend_connections": float(self._backend_client.connections),
                 "backend_servers": float(len(self._forwarder.backends)),
+                "backend_servers_limited": float(self._forwarder.limited_servers),
                 "entry_instances": float(self._members.count_sharing(now)),
                 "store_silent_s": math.inf
                 if last_contact_at is None
--- a/acacialatch/forwarder.py
+++ b/acacialatch/forwarder.py
@@ -83,6 +83,11 @@
         """Attempts sent to backend servers since the start of the process."""
         return self._sender.sends_made
 
+    @property
+    def limited_servers(self) -> int:
+        """Number of backend servers that name a rate limit."""
+        return len(self._sender.limits)
+
     def set_instances(self, count: int) -> None:
         """Set how many entry instances share limits and budgets."""
         self._sender.instance_count = max(1, count)
@@ -247,14 +252,15 @@
         A success finishes the call, and its other attempts are detached. After an
         error status another server is tried, if the route and the budget allow it.
         """
+        actions: list[forwarding.Action] = []
+        self._sender.record_limit(now, number, reply.rate_limit, actions)
         found = self._sender.end_attempt(number)
         if found is None:
             self._sender.end_detached_attempt(now, number, reply.is_success)
-            return []
+            return actions
         exchange, call, attempt = found
         latency_s = now - attempt.started
         call.trace.append(f"{attempt.backend.entry.identity} {reply.status}")
-        actions: list[forwarding.Action] = []
         if reply.is_success:
             self._sender.record_latency(
                 now, exchange.route.name, attempt.backend, latency_s
@@ -281,10 +287,12 @@
         against the attempts of the route. A server that shed the request may be tried
         again after a pause; one that is gone from its address is not used any more.
         """
+        actions: list[forwarding.Action] = []
+        self._sender.record_limit(now, number, failure.rate_limit, actions)
         found = self._sender.end_attempt(number)
         if found is None:
             self._sender.end_detached_attempt(now, number, None)
-            return []
+            return actions
         exchange, call, attempt = found
         backend = attempt.backend
         call.trace.append(f"{backend.entry.identity} {failure.kind.value}")
@@ -303,7 +311,6 @@
             backend.replaced = True
         else:
             backend.record_error(now)
-        actions: list[forwarding.Action] = []
         self._sender.retry_if_idle(now, exchange, call, actions)
         self._answer_if_due(now, exchange, actions)
         self._set_timer(now, exchange)
--- a/acacialatch/forwarding.py
+++ b/acacialatch/forwarding.py
@@ -51,12 +51,16 @@
         Header fields to pass on.
     body : bytes
         Reply body.
+    rate_limit : float or None
+        Requests per second that the server takes from all entry instances together;
+        infinity if it names no limit, None if its limit cannot be read.
     """
 
     status: int
     signature: str
     fields: Fields
     body: bytes
+    rate_limit: float | None = None
 
     @property
     def is_success(self) -> bool:
@@ -90,10 +94,15 @@
 
 
 class SendFailure(typing.NamedTuple):
-    """Failure of one attempt, with its kind and a detail for the log."""
+    """Failure of one attempt, with its kind and a detail for the log.
+
+    `rate_limit` is that of the server, as in `Reply`; None without a reply of it, or if
+    the reply names none.
+    """
 
     kind: FailureKind
     detail: str = ""
+    rate_limit: float | None = None
 
 
 class Send(typing.NamedTuple):
--- a/acacialatch/sending.py
+++ b/acacialatch/sending.py
@@ -16,6 +16,7 @@
     forwarding,
     hedging,
     latencies,
+    ratelimits,
     resends,
 )
 
@@ -66,6 +67,8 @@
         Attempts sent since the start of the process.
     counts : collections.Counter of str
         Number of events of each kind, for the metrics.
+    limits : ratelimits.LimitTable
+        Rate limits that the servers name.
 
     Parameters
     ----------
@@ -85,6 +88,7 @@
         self.instance_count = 1
         self.sends_made = 0
         self.counts: collections.Counter[str] = collections.Counter()
+        self.limits = ratelimits.LimitTable()
         self._budget_bounds = budgets
         self._resend_budgets: dict[str, resends.ResendBudget] = {}
         self._latency_windows: dict[str, latencies.LatencyWindow] = {}
@@ -126,6 +130,39 @@
         attempt.backend.end_send(number)
         return exchange, call, attempt
 
+    def record_limit(
+        self,
+        now: float,
+        number: int,
+        rate: float | None,
+        actions: list[forwarding.Action],
+    ) -> None:
+        """Record what a reply says of the rate limit of its server.
+
+        Call this before the attempt ends.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        number : int
+            Number of the attempt, which may be detached; a cancelled one is ignored.
+        rate : float or None
+            Rate limit of the reply; see `forwarding.Reply`.
+        actions : list of Action
+            Gets the log entries.
+        """
+        if rate is None:
+            return
+        if number in self._attempts:
+            attempt = self._attempts[number][1].open_attempts[number]
+            backend, sent_at = attempt.backend, attempt.started
+        elif number in self._detached_attempts:
+            backend, _, sent_at, _ = self._detached_attempts[number]
+        else:
+            return
+        actions += self.limits.record_reply(now, backend.entry.identity, rate, sent_at)
+
     def cancel_overdue(self, now: float, actions: list[forwarding.Action]) -> None:
         """Cancel the detached attempts whose time is up."""
         for number, (backend, until, _, _) in list(self._detached_attempts.items()):
@@ -317,6 +354,9 @@
     ) -> None:
         """Send an attempt to a server and set the time of the next hedge."""
         self.sends_made += 1
+        kind = _classify_send(exchange, call, hedge)
+        self.counts[f"sends_{kind.value}"] += 1
+        self.limits.record_send(backend.entry.identity, kind)
         number = self.take_number()
         delay_s = self.compute_hedge_delay(exchange.route)
         backend.start_send(number, now + delay_s)
@@ -421,6 +461,19 @@
             backend.record_error(now)
 
 
+def _classify_send(
+    exchange: exchanges.Exchange, call: exchanges.ServiceCall, hedge: bool
+) -> ratelimits.SendKind:
+    """Return the kind of the next attempt of a call."""
+    if exchange.batch_due_at is not None:
+        return ratelimits.SendKind.BATCH
+    if hedge:
+        return ratelimits.SendKind.HEDGE
+    if call.may_have_arrived:
+        return ratelimits.SendKind.RETRY
+    return ratelimits.SendKind.FIRST
+
+
 def fail_call(
     exchange: exchanges.Exchange, call: exchanges.ServiceCall, reason: str
 ) -> None:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import math
 import platform as standard_platform
 
 import pytest
@@ -380,3 +381,38 @@
     reply = servers.PlatformBackends().decode(make_send(), status, fields, b"body")
     assert (reply.status, reply.signature, reply.body) == (status, "s", b"body")
     assert (b"connection", b"close") not in reply.fields
+
+
+@pytest.mark.parametrize(
+    ("values", "limit"),
+    [
+        ([], math.inf),
+        ([b"2"], 2.0),
+        ([b"0.25"], 0.25),
+        ([b"0"], 0.0),
+        ([b"7", b"2.5"], 2.5),
+        ([b"7, 2.5"], 2.5),
+        ([b"x", b"3"], 3.0),
+        ([b"-1"], None),
+        ([b"nan"], None),
+        ([b"inf"], None),
+        ([b"1e3"], None),
+        ([b"9" * 400], None),
+        ([b""], None),
+    ],
+)
+def test_rate_limit_of_a_reply_is_decoded(values, limit):
+    """Guards against a malformed limit that is believed or ends another one."""
+    fields = [SIGNED, (b"X-Request-Id", b"9c41")]
+    fields += [(b"Server-Limit", value) for value in values]
+    reply = servers.PlatformBackends().decode(make_send(), 200, fields, b"body")
+    assert reply.rate_limit == limit
+
+
+def test_refused_request_tells_the_limit_but_not_its_end():
+    """Guards against a limit that ends with a refusal that does not name it."""
+    fields = [(b"X-Request-Id", b"9c41"), (b"X-Not-Executed", b"1")]
+    decode = servers.PlatformBackends().decode
+    assert decode(make_send(), 429, fields, b"").rate_limit is None
+    fields.append((b"Server-Limit", b"2"))
+    assert decode(make_send(), 429, fields, b"").rate_limit == 2.0
