Reproduce a rate limit that the sum over entry instances exceeds

A fleet of forwarders with member tables, in simulated time, sends requests to servers that name a limit; the test counts what arrives in each window of 4 s from instances that have heard of it.

--- a/acacialatch/members.py
+++ b/acacialatch/members.py
@@ -188,8 +188,9 @@
                 self._unconfirmed.add(member.name)
             self._merge_member(now, member)
         all_known = True
+        own_key = _make_key(self.own)
         for key, heartbeat in digest.heartbeats:
-            if key == _make_key(self.own):
+            if key == own_key:
                 continue
             name = self._names_by_key.get(key)
             if name is None:
--- a/tests/test_ratelimits.py
+++ b/tests/test_ratelimits.py
@@ -1,8 +1,215 @@
 """Tests of the rate limits that backend servers name."""
 
+import bisect
+import collections
+import heapq
+import itertools
 import math
+import random
+import typing
 
-from acacialatch import ratelimits
+import pytest
+
+from acacialatch import (
+    backends,
+    deployment,
+    forwarder,
+    forwarding,
+    members,
+    ratelimits,
+    sending,
+)
+
+WINDOW_S = 4.0
+OVERRUN_FACTOR, OVERRUN_REQUESTS = 1.5, 5
+NOTICE_S = 0.5
+WORK_S = 0.03
+LIMITED_FROM_S, LIMITED_UNTIL_S, END_S = 6.0, 26.0, 40.0
+LOOKUP = deployment.Route(
+    "lookup",
+    "search.example",
+    "/lookup/",
+    deployment.RequestKind.IDEMPOTENT,
+    8.0,
+    0.8,
+    1,
+    2,
+    deployment.SingleTarget("ledger"),
+)
+DEPLOYMENT = deployment.Deployment(
+    1,
+    (LOOKUP,),
+    {"ledger": deployment.Service("ledger", 1000, 0.0)},
+    deployment.CallerLimits(),
+)
+
+
+class Arrival(typing.NamedTuple):
+    """Request that arrives at a server from an instance that knows its limit or not."""
+
+    at: float
+    knows_limit: bool
+
+
+class Fleet:
+    """Entry instances in simulated time, with servers that name rate limits.
+
+    Parameters
+    ----------
+    count : int
+        Entry instances.
+    rates : tuple of float
+        For each server its limit in requests per second; infinity for none.
+    demand_per_s : float
+        Requests per second of all callers.
+    seed : int
+        Seed of all random choices.
+    callers : int
+        Entry instances that get requests of callers; the others only gossip.
+    """
+
+    def __init__(self, count, rates, demand_per_s, seed, callers=None):
+        self.random = random.Random(seed)
+        self.rates = {f"ledger-{index}": rate for index, rate in enumerate(rates)}
+        self.demand_per_s = demand_per_s
+        self.callers = callers or count
+        self.now = 0.0
+        self.events = []
+        self.order = itertools.count()
+        self.cores, self.tables, self.told = {}, {}, {}
+        self.arrivals = collections.defaultdict(list)
+        self.answers = collections.Counter()
+        self.answered_at = []
+        self.seeds = tuple(f"10.0.0.{index}:7" for index in range(3))
+        for index in range(count):
+            self.start(index)
+        self.schedule_query()
+
+    def start(self, index):
+        """Start an instance, or start it anew."""
+        core = forwarder.Forwarder(
+            "ba",
+            sending.Budgets(0.2, 54.0, 10.0),
+            self.random.getrandbits(32),
+            self.now,
+        )
+        core.apply_deployment(DEPLOYMENT)
+        for identity in self.rates:
+            entry = backends.Entry(identity, "ledger", "h:1", "ba", 4, False, 0.0)
+            core.backends.put(self.now, entry)
+        own = members.Member(
+            f"entry-{index}",
+            1 + int(1000 * self.now),
+            0,
+            f"c{index}",
+            f"10.0.0.{index}:7",
+            "ba",
+            True,
+        )
+        table = members.MemberTable(own, self.seeds, self.random.getrandbits(32))
+        self.cores[index], self.tables[index] = core, table
+        self.told[index] = {}
+        self.apply_members(index)
+        self.schedule(self.random.random() * members.PERIOD_S, "gossip", index, core)
+
+    def schedule(self, delay_s, kind, index, *values):
+        event = (self.now + delay_s, next(self.order), kind, index, values)
+        heapq.heappush(self.events, event)
+
+    def schedule_query(self):
+        delay_s = self.random.expovariate(self.demand_per_s)
+        self.schedule(delay_s, "query", self.random.randrange(self.callers))
+
+    def apply_members(self, index):
+        """Tell a forwarder what its member table says, as an entry instance does."""
+        core, table = self.cores[index], self.tables[index]
+        core.set_instances(table.count_sharing(self.now))
+
+    def deliver(self, sender, address, digest):
+        """Deliver a digest, and the answer to it."""
+        index = int(address.split(":")[0].rpartition(".")[2])
+        wants_all = self.tables[index].merge_digest(self.now, digest)
+        if wants_all or digest.wants_all:
+            table = self.tables[index]
+            answer = table.make_digest(self.now, digest.wants_all, wants_all)
+            self.deliver(index, f"10.0.0.{sender}:7", answer)
+        self.apply_members(index)
+
+    def perform(self, index, actions):
+        core = self.cores[index]
+        for action in actions:
+            if isinstance(action, forwarding.Send):
+                told_at = self.told[index].get(action.identity, math.inf)
+                knows = told_at + NOTICE_S <= self.now
+                self.arrivals[action.identity].append(Arrival(self.now, knows))
+                values = (core, action.number, action.identity)
+                self.schedule(WORK_S, "reply", index, *values)
+            elif isinstance(action, forwarding.Respond):
+                self.answers[type(action.answer).__name__] += 1
+                if isinstance(action.answer, forwarding.ForwardedReply):
+                    self.answered_at.append(self.now)
+        if core.next_time() < math.inf:
+            self.schedule(max(0.0, core.next_time() - self.now), "timer", index, core)
+
+    def run(self, until_s):
+        """Play all events up to a time."""
+        while self.events[0][0] <= until_s:
+            self.now, _, kind, index, values = heapq.heappop(self.events)
+            core = self.cores[index]
+            if values and values[0] is not core:
+                continue
+            if kind == "query":
+                request = forwarding.Request(
+                    f"r-{self.now}",
+                    "search.example",
+                    "GET",
+                    "/lookup/a",
+                    "/lookup/a",
+                    (),
+                    b"",
+                    2.0,
+                )
+                self.perform(index, core.accept(self.now, request)[1])
+                self.schedule_query()
+            elif kind == "reply":
+                number, identity = values[1:]
+                rate = math.inf
+                if LIMITED_FROM_S <= self.now < LIMITED_UNTIL_S:
+                    rate = self.rates[identity]
+                if rate < math.inf:
+                    self.told[index].setdefault(identity, self.now)
+                reply = forwarding.Reply(200, "s", (), b"", rate)
+                self.perform(index, core.handle_reply(self.now, number, reply))
+            elif kind == "timer":
+                if core.next_time() <= self.now:
+                    self.perform(index, core.handle_timers(self.now))
+            else:
+                table = self.tables[index]
+                for target in itertools.chain(*table.choose_targets(self.now)):
+                    self.deliver(index, target, table.make_digest(self.now))
+                self.apply_members(index)
+                self.schedule(members.PERIOD_S, "gossip", index, core)
+
+    def measure_excess(self, identity):
+        """Return the most requests beyond the allowance of a window of `WINDOW_S`.
+
+        Counted are requests of instances that had heard of the limit `NOTICE_S` before.
+        """
+        allowed = WINDOW_S * OVERRUN_FACTOR * self.rates[identity] + OVERRUN_REQUESTS
+        times = [
+            one.at
+            for one in self.arrivals[identity]
+            if one.knows_limit and one.at < LIMITED_UNTIL_S
+        ]
+        counts = [
+            index + 1 - bisect.bisect_left(times, at - WINDOW_S)
+            for index, at in enumerate(times)
+        ]
+        return max(counts, default=0) - allowed
+
+    def count_arrivals(self, identity, begin_s, end_s):
+        """Return how many requests a server got in a span of time."""
+        return sum(begin_s <= one.at < end_s for one in self.arrivals[identity])
 
 
 def test_log_tells_what_was_sent_under_a_limit():
@@ -35,3 +242,21 @@
     table.record_reply(2.0, "s-1", 2.0, 1.9)
     assert table.record_reply(3.0, "s-1", None, 2.9) == []
     assert len(table) == 1
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize(("count", "rate"), [(7, 5.6), (7, 0.25), (9, 2.0), (9, 0.0)])
+def test_sum_over_instances_stays_within_a_named_rate_limit(count, rate, seed):
+    """Guards against entry instances that together exceed the limit of a server."""
+    fleet = Fleet(count, (rate, rate, math.inf), 40.0, seed)
+    fleet.run(LIMITED_UNTIL_S)
+    assert fleet.measure_excess("ledger-0") <= 0
+    assert fleet.measure_excess("ledger-1") <= 0
+
+
+def test_large_fleet_stays_within_a_named_rate_limit():
+    """Guards against shares that are rounded up to one request for each instance."""
+    fleet = Fleet(300, (2.0, 2.0, math.inf), 60.0, 1)
+    fleet.run(LIMITED_FROM_S + 2 * WINDOW_S)
+    assert fleet.measure_excess("ledger-0") <= 0
+    assert fleet.measure_excess("ledger-1") <= 0
