Share the rate limits that backend servers name among the entry instances

Callers noticed nothing.

Cause: nothing read the limit. The class is a bound on a sum that each member of a fleet must keep without a shared count; a limiter for each instance would have allowed the limit once for each of them.

Change: each entry instance takes a share. Instances that have requests say so in their digests; the share is the limit divided by their number, or the limit is left to as many of them as may each send once in 2 s. One that has just started, or paused, leaves the limit to the others until they can have heard of it. Every send draws on the share, of whatever kind: the single place where attempts are sent counts it. Limits and their ends are passed on with the digests. Calls wait for a share in the order of priority, each fourth turn for the longest wait; what cannot be served in time is refused at once, with a Retry-After from the shares.

--- a/acacialatch/batching.py
+++ b/acacialatch/batching.py
@@ -67,13 +67,14 @@
     ) -> None:
         """Send the shards without a usable server in this zone to peers, as batches.
 
+        Servers that name a rate limit do not count: a peer may have no share left.
         A peer that is overdue with a reply gets no batch.
         """
         zones = self.peers.list_services()
         self._random.shuffle(zones)
         groups = placement.group_by_zone(
             [
-                self._sender.backends.list_usable_zones(now, call.service)
+                self._sender.list_free_zones(now, call.service)
                 for call in exchange.calls
             ],
             self._zone,
--- a/acacialatch/entryinstance.py
+++ b/acacialatch/entryinstance.py
@@ -54,6 +54,16 @@
 IDLE_AFTER_S = 8.0
 """Time in seconds after the start from which an instance may count as idle."""
 
+ACTIVE_CALLS_PER_S = 5.0
+INACTIVE_CALLS_PER_S = 2.5
+"""Calls per second at which an instance begins and ceases to share rate limits.
+
+An instance that callers hardly use would leave its share of a limit unused.
+"""
+
+PAUSE_THRESHOLD_S = 1.0
+"""Time in seconds between two runs of the periodic work that shows a pause."""
+
 BATCHES_PER_CORE_MAX = 8
 """Concurrent batches per processor core that an entry instance handles undelayed."""
 
@@ -220,6 +230,8 @@
             settings.pause_s,
         )
         self._load_meter = addresses.LoadMeter()
+        self._demand_meter = addresses.LoadMeter()
+        self._members.unsettle(self._started_at)
         self._log = logs.Log(LOG_FILE_DESCRIPTOR)
         self._pending_answers: dict[int, _PendingAnswer] = {}
         self._latencies: dict[str, exposition.Histogram] = {}
@@ -246,7 +258,12 @@
                 nursery,
                 self._log_defect,
             )
-            self._gossip = gossip.Gossip(self._members, self._apply_members)
+            self._gossip = gossip.Gossip(
+                self._members,
+                self._apply_members,
+                self._forwarder.list_limit_news,
+                self._merge_limit_news,
+            )
             await nursery.start(self._gossip.run)
             self._caller_server = httpserver.Server(
                 self._handle_request,
@@ -408,15 +425,30 @@
 
     async def _run_housekeeping(self) -> None:
         """Run the timers of the registry, and update the load and the members."""
+        previous = trio.current_time()
         while True:
             await trio.sleep(HOUSEKEEPING_PERIOD_S)
             with self._survive_defects():
                 now = trio.current_time()
+                if now - previous > PAUSE_THRESHOLD_S:
+                    self._members.unsettle(now)
+                previous = now
                 self._write_log_entries(self._registry.handle_timers(now))
+                self._write_log_entries(self._forwarder.forget_limits(now))
                 sends = self._forwarder.sends_made
                 self._members.set_load(self._load_meter.record_sends(now, sends))
+                if self._update_activity(now):
+                    await self._gossip.send_digest(self._members.list_all_targets())
                 self._apply_members()
 
+    def _update_activity(self, now: float) -> bool:
+        """Announce whether there are many requests; return whether that is a change."""
+        calls = self._forwarder.calls_requested
+        demand = self._demand_meter.record_sends(now, calls) / addresses.SEND_CPU_S
+        own = self._members.own
+        threshold = INACTIVE_CALLS_PER_S if own.active else ACTIVE_CALLS_PER_S
+        return self._members.set_active(now, demand >= threshold)
+
     @contextlib.contextmanager
     def _survive_defects(self) -> typing.Iterator[None]:
         """Log an unexpected exception of one event and go on with the next one."""
@@ -440,10 +472,14 @@
     def _apply_members(self) -> None:
         """Pass the number of entry instances and the peers to the forwarder."""
         now = trio.current_time()
-        count = self._members.count_sharing(now)
-        self._forwarder.set_instances(count)
+        self._forwarder.set_sharing(now, self._members.get_sharing(now))
         self._forwarder.set_peers(now, self._list_peers(now))
 
+    def _merge_limit_news(
+        self, now: float, news: tuple[members.LimitNews, ...]
+    ) -> None:
+        self._write_log_entries(self._forwarder.merge_limit_news(now, news))
+
     def _list_peers(self, now: float) -> list[backends.Entry]:
         """Return the peers that batches may be sent to.
 
@@ -538,6 +574,7 @@
         sample = exposition.Sample(
             {
                 **{name: float(n) for name, n in self._forwarder.counts.items()},
+                **{name: float(n) for name, n in self._forwarder.send_counts.items()},
                 "store_reads": float(self._store_watcher.reads),
                 "store_failures": float(self._store_watcher.failures),
                 "store_unreadable": float(self._registry.invalid_values),
--- a/acacialatch/exchanges.py
+++ b/acacialatch/exchanges.py
@@ -28,7 +28,7 @@
     hedge: bool
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class ServiceCall:
     """Part of a request that one service answers, such as one shard of a query.
 
--- a/acacialatch/forwarder.py
+++ b/acacialatch/forwarder.py
@@ -4,6 +4,7 @@
 Nothing here reads a clock, a socket or a file.
 """
 
+import collections
 import heapq
 import math
 import random
@@ -17,6 +18,7 @@
     errors,
     exchanges,
     forwarding,
+    members,
     sending,
 )
 
@@ -43,6 +45,8 @@
         Deployment in force.
     counts : collections.Counter of str
         Number of events of each kind, for the metrics.
+    calls_requested : int
+        Calls of services that requests have asked for, refused ones included.
 
     Parameters
     ----------
@@ -60,13 +64,14 @@
     def __init__(
         self, zone: str, budgets: sending.Budgets, seed: int, started: float = -math.inf
     ):
-        self._sender = sending.AttemptSender(zone, budgets, started)
         self._random = random.Random(seed)
+        self._sender = sending.AttemptSender(zone, budgets, started, self._random)
         self._batches = batching.BatchSender(zone, self._sender, self._random)
         self.backends = self._sender.backends
         self.peers = self._batches.peers
         self.counts = self._sender.counts
         self.deployment: deployment.Deployment | None = None
+        self.calls_requested = 0
         self._route_table = deployment.RouteTable(())
         self._exchanges: dict[int, exchanges.Exchange] = {}
         self._timers: list[tuple[float, int]] = []
@@ -83,6 +88,11 @@
         """Attempts sent to backend servers since the start of the process."""
         return self._sender.sends_made
 
+    @property
+    def send_counts(self) -> collections.Counter[str]:
+        """Attempts by `ratelimits.SendKind`, for the metrics."""
+        return self._sender.send_counts
+
     @property
     def limited_servers(self) -> int:
         """Number of backend servers that name a rate limit."""
@@ -92,6 +102,25 @@
         """Set how many entry instances share limits and budgets."""
         self._sender.instance_count = max(1, count)
 
+    def set_sharing(self, now: float, sharing: members.Sharing) -> None:
+        """Set which entry instances share limits and budgets."""
+        self.set_instances(sharing.count)
+        self._sender.limits.set_sharing(now, sharing)
+
+    def list_limit_news(self, now: float) -> tuple[members.LimitNews, ...]:
+        """Return what other instances should know of the rate limits of servers."""
+        return self._sender.limits.list_news(now)
+
+    def merge_limit_news(
+        self, now: float, news: typing.Iterable[members.LimitNews]
+    ) -> list[forwarding.LogEntry]:
+        """Take over what another instance knows of the rate limits of servers."""
+        return self._sender.limits.merge_news(now, news)
+
+    def forget_limits(self, now: float) -> list[forwarding.LogEntry]:
+        """Forget the rate limits that no server has named for long."""
+        return self._sender.limits.remove_expired(now)
+
     def set_peers(self, now: float, entries: typing.Iterable[backends.Entry]) -> None:
         """Replace the list of other entry instances that accept batches."""
         self._batches.set_peers(now, entries)
@@ -141,8 +170,11 @@
                 for name in deployment.choose_services(route.target, self._random)
             ],
         )
+        self.calls_requested += len(exchange.calls)
         if timeout_s <= 0 or not self._sender.can_reach_coverage(now, exchange):
-            return number, self._refuse_new(number, request, errors.ErrorKind.NOT_RUN)
+            wait_s = self._sender.compute_wait(now, exchange)
+            refused = errors.ErrorKind.NOT_RUN
+            return number, self._refuse_new(number, request, refused, wait_s)
         self._exchanges[number] = exchange
         actions: list[forwarding.Action] = []
         for call in exchange.calls:
@@ -181,6 +213,7 @@
             batch_due_at=now + batch.wait_s,
         )
         self._exchanges[number] = exchange
+        self.calls_requested += len(exchange.calls)
         actions: list[forwarding.Action] = []
         for call in exchange.calls:
             if call.service in self.deployment.services:
@@ -526,7 +559,9 @@
         that the outcome is unknown.
         """
         if not exchange.may_have_run:
-            retry_after_s = RETRY_AFTER_S * (1 + self._random.random())
+            retry_after_s = self._choose_retry_after(
+                self._sender.compute_wait(now, exchange)
+            )
             if errors.ANSWERS[kind].run_state is not errors.RunState.NOT_RUN:
                 kind = errors.ErrorKind.NOT_RUN
             answer = forwarding.ErrorReply(kind, retry_after_s)
@@ -570,15 +605,30 @@
             exchange.make_log_entry(now, outcome, self._sender.instance_count)
         )
 
+    def _choose_retry_after(self, wait_s: float) -> float:
+        """Return after which time in seconds a caller should retry.
+
+        Parameters
+        ----------
+        wait_s : float
+            Time in seconds until rate limits of servers allow a request.
+        """
+        return max(wait_s, RETRY_AFTER_S) + RETRY_AFTER_S * self._random.random()
+
     def _refuse_new(
-        self, number: int, request: forwarding.Request, kind: errors.ErrorKind
+        self,
+        number: int,
+        request: forwarding.Request,
+        kind: errors.ErrorKind,
+        wait_s: float = 0.0,
     ) -> list[forwarding.Action]:
-        """Refuse a request before any attempt; return the actions."""
+        """Refuse a request before any attempt; return the actions.
+
+        `wait_s` is the time in seconds until rate limits of servers allow it.
+        """
         self.counts[kind.value] += 1
         retryable = errors.ANSWERS[kind].retryable
-        retry_after_s = (
-            RETRY_AFTER_S * (1 + self._random.random()) if retryable else 0.0
-        )
+        retry_after_s = self._choose_retry_after(wait_s) if retryable else 0.0
         version = self.deployment.version if self.deployment else 0
         return [
             forwarding.Respond(number, forwarding.ErrorReply(kind, retry_after_s)),
--- a/acacialatch/gossip.py
+++ b/acacialatch/gossip.py
@@ -15,6 +15,10 @@
 _DECODER = msgspec.msgpack.Decoder(members.Digest)
 
 
+ListLimits = typing.Callable[[float], tuple[members.LimitNews, ...]]
+OnLimits = typing.Callable[[float, tuple[members.LimitNews, ...]], None]
+
+
 class Gossip:
     """Sends and receives the membership digests of one entry instance.
 
@@ -29,13 +33,23 @@
         Members known to this instance.
     on_change : callable
         Called after a digest was merged into the table.
+    list_limits : callable
+        Returns what others should know at a time of the rate limits of servers.
+    on_limits : callable
+        Called with the time and what another instance knows of them.
     """
 
     def __init__(
-        self, table: members.MemberTable, on_change: typing.Callable[[], None]
+        self,
+        table: members.MemberTable,
+        on_change: typing.Callable[[], None],
+        list_limits: ListLimits = lambda now: (),
+        on_limits: OnLimits = lambda now, news: None,
     ):
         self._table = table
         self._on_change = on_change
+        self._list_limits = list_limits
+        self._on_limits = on_limits
         self._socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
         self.malformed = 0
 
@@ -72,7 +86,8 @@
     async def _send(
         self, digest: members.Digest, targets: typing.Iterable[str]
     ) -> None:
-        data = _ENCODER.encode(digest)
+        limits = self._list_limits(trio.current_time())
+        data = _ENCODER.encode(digest._replace(limits=limits))
         if len(data) > DATAGRAM_BYTES_MAX:
             logs.write(logs.Part.MEMBERSHIP, "digest is too large", bytes=len(data))
             return
@@ -103,6 +118,7 @@
         """Merge a digest; reply if either side does not know all members."""
         now = trio.current_time()
         wants_all = self._table.merge_digest(now, digest)
+        self._on_limits(now, digest.limits)
         if wants_all or digest.wants_all:
             reply = self._table.make_digest(now, digest.wants_all, wants_all)
             await self._send(reply, [sender])
--- a/acacialatch/members.py
+++ b/acacialatch/members.py
@@ -4,6 +4,7 @@
 that changed recently are sent in full, others only by their heartbeats.
 """
 
+import math
 import random
 import typing
 import zlib
@@ -34,6 +35,9 @@
 Limits and budgets are divided by the number of entry instances.
 """
 
+SETTLE_S = 3.0
+"""Time in seconds after which the other instances know that a member is active."""
+
 
 COUNTER_MAX = 1 << 62
 """Largest incarnation or heartbeat that a digest may hold.
@@ -66,6 +70,8 @@
     load : float
         Processor cores that its requests use. Known only as of the last digest that
         held the member in full.
+    active : bool
+        Whether it has enough requests to take part in the limits of backend servers.
     """
 
     name: str
@@ -77,6 +83,25 @@
     ready: bool
     capacity: float = 1.0
     load: float = 0.0
+    active: bool = False
+
+
+class LimitNews(typing.NamedTuple):
+    """What an entry instance knows of the rate limit of a backend server.
+
+    Attributes
+    ----------
+    server : str
+        Identity of the server.
+    rate : float
+        Requests per second from all instances together; negative if the limit ended.
+    age_s : float
+        Time in seconds since the reply of the server that showed it.
+    """
+
+    server: typing.Annotated[str, msgspec.Meta(max_length=200)]
+    rate: float
+    age_s: typing.Annotated[float, msgspec.Meta(ge=0)]
 
 
 class Digest(typing.NamedTuple):
@@ -90,16 +115,41 @@
         Key and heartbeat of members that the receiver should already know.
     wants_all : bool
         Whether the receiver should answer with all members in full.
+    limits : tuple of LimitNews
+        Rate limits of backend servers.
     """
 
     members: list[Member]
     heartbeats: list[tuple[int, Counter]]
     wants_all: bool
+    limits: tuple[LimitNews, ...] = ()
+
+
+class Sharing(typing.NamedTuple):
+    """Entry instances that share the limits of backend servers.
+
+    Attributes
+    ----------
+    own : str
+        Name of this instance.
+    active : tuple of str
+        Names of the instances that take part, sorted: the active ones, or all if none
+        is active.
+    count : int
+        Number of all instances.
+    is_settled : bool
+        Whether the others know by now that this instance takes part.
+    """
+
+    own: str = ""
+    active: tuple[str, ...] = ("",)
+    count: int = 1
+    is_settled: bool = True
 
 
 def _make_key(member: Member) -> int:
     """Return a short key for the identity and readiness of a member."""
-    text = f"{member.name} {member.incarnation} {member.ready}"
+    text = f"{member.name} {member.incarnation} {member.ready} {member.active}"
     return zlib.crc32(text.encode())
 
 
@@ -127,6 +177,7 @@
         # ended would otherwise be listed anew by each instance that starts.
         self._unconfirmed: set[str] = set()
         self._random = random.Random(seed)
+        self._settled_at = math.inf
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the gossip addresses from the settings."""
@@ -143,6 +194,23 @@
         """Announce how many processor cores the requests use."""
         self.own = self.own._replace(load=round(load, 3))
 
+    def set_active(self, now: float, active: bool) -> bool:
+        """Announce whether this instance is active; return whether that is a change."""
+        changed = self.own.active != active
+        if changed:
+            self.own = self.own._replace(
+                active=active, heartbeat=self.own.heartbeat + 1
+            )
+            self.unsettle(now)
+        return changed
+
+    def unsettle(self, now: float) -> None:
+        """Take no share of the limits until the others can have heard of this instance.
+
+        Call this at the start and after a pause of the process.
+        """
+        self._settled_at = now + SETTLE_S
+
     def make_digest(
         self,
         now: float,
@@ -271,6 +339,17 @@
         """
         return 1 + max(len(self._list_live(now, SHARING_TIMEOUT_S)), len(self._seeds))
 
+    def get_sharing(self, now: float) -> Sharing:
+        """Return which entry instances share the limits of backend servers."""
+        live = [self.own, *self._list_live(now, SHARING_TIMEOUT_S)]
+        active = [one.name for one in live if one.active]
+        return Sharing(
+            self.own.name,
+            tuple(sorted(active or [one.name for one in live])),
+            self.count_sharing(now),
+            now >= self._settled_at,
+        )
+
     def _list_live(self, now: float, within_s: float) -> list[Member]:
         """Return the members with a new heartbeat in the last `within_s` seconds."""
         return [
--- a/acacialatch/sending.py
+++ b/acacialatch/sending.py
@@ -6,6 +6,7 @@
 
 import collections
 import math
+import random
 import typing
 
 from acacialatch import (
@@ -18,6 +19,7 @@
     latencies,
     ratelimits,
     resends,
+    waiting,
 )
 
 RECHECK_INTERVAL_S = 0.01
@@ -67,6 +69,8 @@
         Attempts sent since the start of the process.
     counts : collections.Counter of str
         Number of events of each kind, for the metrics.
+    send_counts : collections.Counter of str
+        Number of attempts by `ratelimits.SendKind`, for the metrics.
     limits : ratelimits.LimitTable
         Rate limits that the servers name.
 
@@ -79,16 +83,22 @@
     started : float
         Start of the process in seconds. The retry budgets of a process that has just
         started are smaller; see `resends.ResendBudget`.
+    source : random.Random
+        Source of random choices.
     """
 
-    def __init__(self, zone: str, budgets: Budgets, started: float):
+    def __init__(
+        self, zone: str, budgets: Budgets, started: float, source: random.Random
+    ):
         self._started = started
         self.backends = backends.BackendTable(zone)
         self.deployment: deployment.Deployment | None = None
         self.instance_count = 1
         self.sends_made = 0
         self.counts: collections.Counter[str] = collections.Counter()
-        self.limits = ratelimits.LimitTable()
+        self.send_counts: collections.Counter[str] = collections.Counter()
+        self.limits = ratelimits.LimitTable(source)
+        self._waiting = waiting.WaitQueues()
         self._budget_bounds = budgets
         self._resend_budgets: dict[str, resends.ResendBudget] = {}
         self._latency_windows: dict[str, latencies.LatencyWindow] = {}
@@ -194,17 +204,28 @@
         return max(1, service_limits.connections_max // self.instance_count)
 
     def _make_limit_check(
-        self, now: float, service: str
+        self, now: float, service: str, call: exchanges.ServiceCall | None
     ) -> typing.Callable[[backends.Backend], bool]:
         """Return a check whether a server may get one more request from this process.
 
         It bounds the requests in flight by the share of the connections and by the
-        server's slots. For a cold server it also spaces the requests, so that all
-        entry instances together stay within the rate of the service.
+        server's slots. For a cold server, and one that names a rate limit, it also
+        spaces the requests, so that all entry instances together stay within the rate.
+        Calls that wait for a limited server go before a hedge.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        service : str
+            Service of the request.
+        call : exchanges.ServiceCall or None
+            The waiting call to be sent; None for a hedge.
         """
         connection_share = self._compute_connection_share(service)
         assert self.deployment is not None
         service_limits = self.deployment.services.get(service)
+        is_next: bool | None = None
         cold_rate = service_limits.cold_requests_per_s if service_limits else 0.0
         interval_s = self.instance_count / cold_rate if cold_rate > 0 else 0.0
 
@@ -213,12 +234,26 @@
                 connection_share, backend.entry.slots + SERVER_QUEUE_MAX
             ):
                 return False
+            identity = backend.entry.identity
+            if self.limits.has_limit(identity):
+                if self.limits.next_send_at(now, identity) > now:
+                    return False
+                nonlocal is_next
+                if is_next is None:
+                    is_next = self._is_next(service, call)
+                if not is_next:
+                    return False
             if interval_s and now < backend.cold_until and backend.cold_sends:
                 return now - backend.cold_sends[-1] >= interval_s
             return True
 
         return is_within_limits
 
+    def _is_next(self, service: str, call: exchanges.ServiceCall | None) -> bool:
+        if call is None:
+            return self._waiting.is_empty(service)
+        return self._waiting.is_next(service, call)
+
     def hedge_or_retry_if_due(
         self,
         now: float,
@@ -251,7 +286,10 @@
         ):
             return
         backend = self.backends.choose(
-            now, call.service, call.tried, self._make_limit_check(now, call.service)
+            now,
+            call.service,
+            call.tried,
+            self._make_limit_check(now, call.service, None),
         )
         if backend is None:
             call.hedge_at = now + RECHECK_INTERVAL_S
@@ -290,37 +328,51 @@
         not allow a retry. While a server may become usable, the call waits.
         """
         call.retry_at = call.hedge_at = math.inf
+        priority = exchange.route.priority
         exhausted = call.possible_runs >= exchange.route.attempts_max
         if exhausted or (call.possible_runs and not exchange.is_idempotent):
-            fail_call(exchange, call, f"{call.possible_runs} runs are allowed")
+            self._fail_waiting(exchange, call, f"{call.possible_runs} runs are allowed")
             return
+        self._waiting.add(call.service, call, priority)
         backend = self.backends.choose(
-            now, call.service, call.tried, self._make_limit_check(now, call.service)
+            now,
+            call.service,
+            call.tried,
+            self._make_limit_check(now, call.service, call),
         )
         if backend is None:
             if self._can_wait_for_server(now, exchange, call):
-                call.retry_at = now + RECHECK_INTERVAL_S
+                ahead = self._waiting.count_ahead(call.service, priority, call)
+                call.retry_at = now + (1 + ahead) * RECHECK_INTERVAL_S
             else:
-                fail_call(exchange, call, "no usable server")
+                self._fail_waiting(exchange, call, "no usable server")
             return
         if call.may_have_arrived:
             if not self._get_resend_budget(call.service).try_acquire(
                 now, self.instance_count
             ):
                 self.counts["retries_without_budget"] += 1
-                fail_call(exchange, call, "no budget for a resend")
+                self._fail_waiting(exchange, call, "no budget for a resend")
                 return
             exchange.retries += 1
             self.counts["retries"] += 1
+        self._waiting.grant(call.service, call)
         self._send(now, exchange, call, backend, False, actions)
 
+    def _fail_waiting(
+        self, exchange: exchanges.Exchange, call: exchanges.ServiceCall, reason: str
+    ) -> None:
+        """End a call that has waited for a server, without a successful reply."""
+        self._waiting.remove(call.service, call)
+        fail_call(exchange, call, reason)
+
     def can_reach_coverage(self, now: float, exchange: exchanges.Exchange) -> bool:
         """Return whether enough shards have a server, or may soon have one."""
         target = exchange.route.target
         if not isinstance(target, deployment.ShardTarget):
             return True
         reachable = sum(
-            bool(self.backends.list_usable_zones(now, call.service))
+            bool(self.list_free_zones(now, call.service))
             or self._can_wait_for_server(now, exchange, call)
             for call in exchange.calls
         )
@@ -328,20 +380,86 @@
             len(exchange.calls), target.coverage_min
         )
 
+    def list_free_zones(self, now: float, service: str) -> frozenset[str]:
+        """Return the zones with a usable server of a service that names no limit."""
+        return frozenset(
+            one.entry.zone
+            for one in self.backends.list_servers(service)
+            if one.is_usable(now) and not self.limits.has_limit(one.entry.identity)
+        )
+
     def _can_wait_for_server(
         self, now: float, exchange: exchanges.Exchange, call: exchanges.ServiceCall
     ) -> bool:
-        """Return whether an untried server may be usable in time for the objective."""
-        until = exchange.started + exchange.route.objective_s
-        until = min(until, exchange.deadline)
-        servers = self.backends.list_servers(call.service)
-        return any(
-            not one.entry.draining
+        """Return whether an untried server may be usable in time.
+
+        In time is before the objective. A request to a single service also waits until
+        its deadline for a server that names a rate limit, if the limits allow the
+        requests that wait before it.
+        """
+        until = min(exchange.started + exchange.route.objective_s, exchange.deadline)
+        limited: list[backends.Backend] = []
+        for one in self._list_candidates(call):
+            if self.limits.has_limit(one.entry.identity):
+                limited.append(one)
+            elif max(now + RECHECK_INTERVAL_S, one.retry_at, one.shed_until) < until:
+                return True
+        if not limited:
+            return False
+        until = self._compute_last_send_at(exchange)
+        ahead = self._waiting.count_ahead(call.service, exchange.route.priority, call)
+        allowed = sum(
+            self.limits.count_until(now, until, one.entry.identity)
+            for one in limited
+            if max(one.retry_at, one.shed_until) < until
+        )
+        return allowed > ahead
+
+    def _list_candidates(self, call: exchanges.ServiceCall) -> list[backends.Backend]:
+        """Return the servers that a call has not tried and that are not leaving."""
+        return [
+            one
+            for one in self.backends.list_servers(call.service)
+            if not one.entry.draining
             and not one.replaced
-            and max(now + RECHECK_INTERVAL_S, one.retry_at, one.shed_until) < until
             and one.entry.identity not in call.tried
-            for one in servers
+        ]
+
+    def _compute_last_send_at(self, exchange: exchanges.Exchange) -> float:
+        """Return until when a request may wait for a rate limit, in seconds.
+
+        A server needs the rest of the time to reply.
+        """
+        until = exchange.deadline
+        if isinstance(exchange.route.target, deployment.ShardTarget):
+            until = min(until, exchange.started + exchange.route.objective_s)
+        return until - self.compute_hedge_delay(exchange.route)
+
+    def compute_wait(self, now: float, exchange: exchanges.Exchange) -> float:
+        """Return the time until the rate limits allow a new request of this kind.
+
+        It is 0 seconds if no limit binds, and the time until enough shards can be
+        called for a query over many shards.
+        """
+        priority = exchange.route.priority
+        waits_s = sorted(
+            self._compute_call_wait(now, priority, call) for call in exchange.calls
         )
+        target = exchange.route.target
+        needed = len(waits_s)
+        if isinstance(target, deployment.ShardTarget):
+            needed = completion.count_needed(needed, target.coverage_min)
+        return waits_s[needed - 1]
+
+    def _compute_call_wait(
+        self, now: float, priority: int, call: exchanges.ServiceCall
+    ) -> float:
+        servers = self.backends.list_servers(call.service)
+        identities = [one.entry.identity for one in servers if one.is_usable(now)]
+        if not identities or not all(map(self.limits.has_limit, identities)):
+            return 0.0
+        ahead = self._waiting.count_ahead(call.service, priority)
+        return self.limits.compute_wait(now, identities, ahead)
 
     def _send(
         self,
@@ -355,8 +473,8 @@
         """Send an attempt to a server and set the time of the next hedge."""
         self.sends_made += 1
         kind = _classify_send(exchange, call, hedge)
-        self.counts[f"sends_{kind.value}"] += 1
-        self.limits.record_send(backend.entry.identity, kind)
+        self.send_counts[f"sends_{kind.value}"] += 1
+        self.limits.record_send(now, backend.entry.identity, kind)
         number = self.take_number()
         delay_s = self.compute_hedge_delay(exchange.route)
         backend.start_send(number, now + delay_s)
@@ -411,8 +529,10 @@
     ) -> None:
         """Leave the open attempts of a call to finish within `GRACE_PERIOD_S`.
 
-        Their replies are not used, but still tell how fast the servers are.
+        Their replies are not used, but still tell how fast the servers are. A call that
+        waits for a server no longer does.
         """
+        self._waiting.remove(call.service, call)
         for attempt in call.open_attempts.values():
             del self._attempts[attempt.number]
             self._detached_attempts[attempt.number] = (
@@ -426,7 +546,8 @@
     def cancel_attempts(
         self, call: exchanges.ServiceCall, actions: list[forwarding.Action]
     ) -> None:
-        """Cancel the attempts of a call that are in flight."""
+        """Cancel the attempts of a call that are in flight, or end its wait."""
+        self._waiting.remove(call.service, call)
         for attempt in call.open_attempts.values():
             del self._attempts[attempt.number]
             attempt.backend.end_send(attempt.number)
