Space the first requests of all entry instances to a cold server

Cause: each instance spaced its requests to a cold server by its share of the rate, but sent the first one at once, so that 30 instances sent 30 requests in a second to a server that takes 2. The same class as the rate limits that servers name: a bound in sum that holds for each instance only.

Change: cold servers use the same shares and paces, with a random start. The method set_instances is replaced by set_sharing; two tests call it instead, with the same number of instances.

--- a/acacialatch/backends.py
+++ b/acacialatch/backends.py
@@ -1,11 +1,10 @@
 """State of the backend servers at one entry instance, and load balancing over them."""
 
-import collections
 import dataclasses
 import math
 import typing
 
-from acacialatch import scoring
+from acacialatch import pacing, scoring
 
 RETRY_DELAY_MIN_S = 0.25
 RETRY_DELAY_MAX_S = 2.0
@@ -79,8 +78,8 @@
         Whether another server has taken over the address.
     expires_at : float
         Time at which a server that is missing after a store outage is removed.
-    cold_sends : deque of float
-        Time of the last request to a cold server; at most one element.
+    cold_pace : pacing.Pace or None
+        Spaces the requests while it warms up; None before the first.
     """
 
     entry: Entry
@@ -93,9 +92,7 @@
     shed_until: float = -math.inf
     replaced: bool = False
     expires_at: float = math.inf
-    cold_sends: collections.deque[float] = dataclasses.field(
-        default_factory=collections.deque
-    )
+    cold_pace: pacing.Pace | None = None
 
     def is_usable(self, now: float) -> bool:
         """Return whether the server may get new requests."""
@@ -200,6 +197,7 @@
             registered.entry = entry
             registered.cold_until = now + entry.cold_s
             if restarted:
+                registered.cold_pace = None
                 registered.retry_at = registered.shed_until = -math.inf
                 registered.retry_delay_s = 0.0
                 registered.replaced = False
--- a/acacialatch/forwarder.py
+++ b/acacialatch/forwarder.py
@@ -98,13 +98,9 @@
         """Number of backend servers that name a rate limit."""
         return len(self._sender.limits)
 
-    def set_instances(self, count: int) -> None:
-        """Set how many entry instances share limits and budgets."""
-        self._sender.instance_count = max(1, count)
-
     def set_sharing(self, now: float, sharing: members.Sharing) -> None:
         """Set which entry instances share limits and budgets."""
-        self.set_instances(sharing.count)
+        self._sender.instance_count = max(1, sharing.count)
         self._sender.limits.set_sharing(now, sharing)
 
     def list_limit_news(self, now: float) -> tuple[members.LimitNews, ...]:
--- a/acacialatch/ratelimits.py
+++ b/acacialatch/ratelimits.py
@@ -11,7 +11,7 @@
 import typing
 import zlib
 
-from acacialatch import forwarding, members
+from acacialatch import forwarding, members, pacing
 
 USABLE_SHARE = 0.9
 """Share of a limit that is used.
@@ -32,9 +32,6 @@
 With their requests they find out whether the limit still holds.
 """
 
-BURST_S = 0.5
-"""Time in seconds for which an unused share accumulates; at least one request does."""
-
 RATE_MIN = 0.1
 RATE_MAX = 1e6
 """Bounds of the limits that are respected, in requests per second.
@@ -92,56 +89,6 @@
     return (USABLE_SHARE - PROBE_SHARE) * rate / holders_max
 
 
-class Pace:
-    """Token bucket that spaces the requests of this process to one server.
-
-    Attributes
-    ----------
-    share : float
-        Requests per second of this process.
-
-    Parameters
-    ----------
-    now : float
-        Time in seconds.
-    share : float
-        Requests per second of this process.
-    phase : float
-        Part of a request that is allowed at once, from 0 to 1. A random one keeps the
-        instances from sending their first requests at the same time.
-    """
-
-    def __init__(self, now: float, share: float, phase: float):
-        self.share = share
-        self._tokens = phase
-        self._updated_at = now
-
-    def set_share(self, now: float, share: float) -> None:
-        """Change the share and keep what has accumulated."""
-        self._refill(now)
-        self.share = share
-
-    def record_send(self, now: float) -> None:
-        """Count a request."""
-        self._refill(now)
-        self._tokens -= 1.0
-
-    def next_send_at(self, now: float) -> float:
-        """Return the earliest time of the next request, in seconds; at least `now`."""
-        self._refill(now)
-        return now + max(0.0, 1.0 - self._tokens) / self.share
-
-    def count_until(self, now: float, until: float) -> int:
-        """Return how many requests are allowed from `now` to `until`."""
-        self._refill(now)
-        return max(0, int(self._tokens + self.share * max(0.0, until - now)))
-
-    def _refill(self, now: float) -> None:
-        tokens = self._tokens + self.share * max(0.0, now - self._updated_at)
-        self._tokens = min(tokens, max(1.0, BURST_S * self.share))
-        self._updated_at = max(now, self._updated_at)
-
-
 class _Limit:
     """Limit that one server names, and the requests sent to it meanwhile.
 
@@ -153,13 +100,13 @@
         Time at which this process first heard of it, in seconds.
     named_at : float
         Time of the latest reply to any instance that named it, in seconds.
-    pace : Pace
+    pace : pacing.Pace
         Spaces the requests of this process.
     sends : collections.Counter of str
         Requests of this process since then, by `SendKind`.
     """
 
-    def __init__(self, now: float, named_at: float, rate: float, pace: Pace):
+    def __init__(self, now: float, named_at: float, rate: float, pace: pacing.Pace):
         self.rate = rate
         self.since = now
         self.named_at = named_at
@@ -229,6 +176,21 @@
         first_s = min(pace.next_send_at(now) for pace in paces) - now
         return first_s + ahead / sum(pace.share for pace in paces)
 
+    def make_pace(self, now: float, identity: str, rate: float) -> pacing.Pace:
+        """Return what spaces the requests of this process to a server.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        identity : str
+            Identity of the server.
+        rate : float
+            Requests per second that it takes from all entry instances together.
+        """
+        share = compute_share(self._sharing, identity, rate)
+        return pacing.Pace(now, share, self._random.random())
+
     def record_send(self, now: float, identity: str, kind: SendKind) -> None:
         """Count a request to a server, which its limit then allows less."""
         limit = self._limits.get(identity)
@@ -309,7 +271,7 @@
         share = compute_share(self._sharing, identity, rate)
         if limit is None:
             self._ended_at.pop(identity, None)
-            pace = Pace(now, share, self._random.random())
+            pace = self.make_pace(now, identity, rate)
             self._limits[identity] = _Limit(now, named_at, rate, pace)
             text = "names a rate limit"
         else:
--- a/acacialatch/sending.py
+++ b/acacialatch/sending.py
@@ -227,7 +227,6 @@
         service_limits = self.deployment.services.get(service)
         is_next: bool | None = None
         cold_rate = service_limits.cold_requests_per_s if service_limits else 0.0
-        interval_s = self.instance_count / cold_rate if cold_rate > 0 else 0.0
 
         def is_within_limits(backend: backends.Backend) -> bool:
             if backend.in_flight >= min(
@@ -243,8 +242,10 @@
                     is_next = self._is_next(service, call)
                 if not is_next:
                     return False
-            if interval_s and now < backend.cold_until and backend.cold_sends:
-                return now - backend.cold_sends[-1] >= interval_s
+            if cold_rate > 0 and now < backend.cold_until:
+                if backend.cold_pace is None:
+                    backend.cold_pace = self.limits.make_pace(now, identity, cold_rate)
+                return backend.cold_pace.next_send_at(now) <= now
             return True
 
         return is_within_limits
@@ -478,10 +479,8 @@
         number = self.take_number()
         delay_s = self.compute_hedge_delay(exchange.route)
         backend.start_send(number, now + delay_s)
-        if now < backend.cold_until:
-            backend.cold_sends.append(now)
-            while len(backend.cold_sends) > 1:
-                backend.cold_sends.popleft()
+        if backend.cold_pace is not None:
+            backend.cold_pace.record_send(now)
         call.open_attempts[number] = exchanges.Attempt(number, backend, now, hedge)
         call.tried.add(backend.entry.identity)
         call.possible_runs += 1
--- a/tests/test_batches.py
+++ b/tests/test_batches.py
@@ -10,7 +10,15 @@
 import pytest
 from hypothesis import stateful, strategies
 
-from acacialatch import backends, deployment, forwarder, forwarding, merging, sending
+from acacialatch import (
+    backends,
+    deployment,
+    forwarder,
+    forwarding,
+    members,
+    merging,
+    sending,
+)
 
 ZONES = ("ba", "nadi", "suva")
 SHARDS = tuple(f"shard-{number}" for number in range(9))
@@ -61,7 +69,7 @@
         self.runs = collections.Counter()
         self.requests_received = collections.Counter()
         for zone, core in self.cores.items():
-            core.set_instances(len(ZONES))
+            core.set_sharing(self.now, members.Sharing(zone, ZONES, len(ZONES)))
             core.apply_deployment(DEPLOYMENT)
             for index, service in enumerate(SHARDS):
                 server_zone = ZONES[index % len(ZONES)]
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -2,7 +2,15 @@
 
 import pytest
 
-from acacialatch import backends, deployment, errors, forwarder, forwarding, sending
+from acacialatch import (
+    backends,
+    deployment,
+    errors,
+    forwarder,
+    forwarding,
+    members,
+    sending,
+)
 
 SHARDS = ("shard-0", "shard-1", "shard-2", "shard-3")
 PAGE = deployment.Route(
@@ -321,7 +329,8 @@
     harness = ForwarderHarness(
         replicas=1, deployment_in_force=DEPLOYMENT._replace(services=cold)
     )
-    harness.core.set_instances(2)
+    sharing = members.Sharing("entry-0", ("entry-0", "entry-1"), 2)
+    harness.core.set_sharing(harness.now, sharing)
     entry = make_entry("ledger-0", "ledger")._replace(cold_s=3.0)
     harness.core.backends.put(harness.now, entry)
     sent = 0
--- a/tests/test_ratelimits.py
+++ b/tests/test_ratelimits.py
@@ -36,12 +36,7 @@
     2,
     deployment.SingleTarget("ledger"),
 )
-DEPLOYMENT = deployment.Deployment(
-    1,
-    (LOOKUP,),
-    {"ledger": deployment.Service("ledger", 1000, 0.0)},
-    deployment.CallerLimits(),
-)
+DEPLOYMENT = deployment.Deployment(1, (LOOKUP,), {}, deployment.CallerLimits())
 
 
 class Arrival(typing.NamedTuple):
@@ -66,13 +61,17 @@
         Seed of all random choices.
     callers : int
         Entry instances that get requests of callers; the others only gossip.
+    cold_rate : float
+        Requests per second that a cold server takes from all instances together.
     """
 
-    def __init__(self, count, rates, demand_per_s, seed, callers=None):
+    def __init__(self, count, rates, demand_per_s, seed, callers=None, cold_rate=0.0):
         self.random = random.Random(seed)
         self.rates = {f"ledger-{index}": rate for index, rate in enumerate(rates)}
         self.demand_per_s = demand_per_s
         self.callers = callers or count
+        service = deployment.Service("ledger", 1000, cold_rate)
+        self.deployment = DEPLOYMENT._replace(services={"ledger": service})
         self.has_idle = self.callers < count
         self.retry_after_s = []
         self.refused_after_s = []
@@ -96,7 +95,7 @@
             self.random.getrandbits(32),
             self.now,
         )
-        core.apply_deployment(DEPLOYMENT)
+        core.apply_deployment(self.deployment)
         for identity in self.rates:
             entry = backends.Entry(identity, "ledger", "h:1", "ba", 4, False, 0.0)
             core.backends.put(self.now, entry)
@@ -342,3 +341,19 @@
     assert not first.has_limit("s-1")
     first.merge_news(3.2, [one._replace(age_s=2.2) for one in old_news])
     assert not first.has_limit("s-1")
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_first_requests_of_all_instances_to_a_cold_server_stay_within_its_rate(seed):
+    """Guards against a cold server that gets one request of each instance at once."""
+    fleet = Fleet(30, (math.inf,), 300.0, seed, cold_rate=2.0)
+    fleet.run(5.0)
+    for core in fleet.cores.values():
+        server = core.backends.find("ledger-0").entry
+        restarted = server._replace(cold_s=3.0, started_ms=1)
+        core.backends.put(fleet.now, restarted)
+    fleet.run(7.9)
+    times = [one.at for one in fleet.arrivals["ledger-0"] if one.at >= 5.0]
+    most = max(sum(at - 1.0 < one <= at for one in times) for at in times)
+    assert most <= 2.0 * OVERRUN_FACTOR + OVERRUN_REQUESTS
+    assert len(times) >= 2
