Log restores of the store, and changes that are ignored as older

The adapter now decodes the era of the store, and the registry logs a new era and each change whose revision is lower than what it knows of the key. Nothing depends on the era yet.

--- a/acacialatch/registry.py
+++ b/acacialatch/registry.py
@@ -59,10 +59,22 @@
 
 
 class Changes(typing.NamedTuple):
-    """Changes and the revision of the store up to which they are complete."""
+    """Changes and the revision of the store up to which they are complete.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the store.
+    changes : tuple of Change
+        The changes.
+    era : int or None
+        Era of the store, which rises each time that the store comes back from an older
+        copy; revisions of different eras cannot be compared. None if it is not told.
+    """
 
     revision: int
     changes: tuple[Change, ...]
+    era: int | None = None
 
 
 class Registry:
@@ -82,6 +94,7 @@
         self._grace_until = 0.0
         self._last_contact_at: float | None = None
         self.revision = 0
+        self.era: int | None = None
         self.invalid_values = 0
 
     @property
@@ -124,9 +137,19 @@
 
     def _apply(self, now: float, changes: Changes) -> list[forwarding.LogEntry]:
         """Apply the changes that are newer than what is known of their keys."""
-        log_entries: list[forwarding.LogEntry] = []
+        log_entries = self._record_era(changes)
         for change in changes.changes:
-            if change.revision <= self._revision_by_key.get(change.key, 0):
+            known_revision = self._revision_by_key.get(change.key, 0)
+            if change.revision <= known_revision:
+                if change.revision < known_revision:
+                    values = {
+                        "key": change.key,
+                        "revision": change.revision,
+                        "known": known_revision,
+                    }
+                    log_entries.append(
+                        forwarding.LogEntry("config:", "older change ignored", values)
+                    )
                 continue
             self._revision_by_key[change.key] = change.revision
             match change:
@@ -152,6 +175,20 @@
         self.revision = max(self.revision, changes.revision)
         return log_entries
 
+    def _record_era(self, changes: Changes) -> list[forwarding.LogEntry]:
+        if changes.era is None or changes.era == self.era:
+            return []
+        previous, self.era = self.era, changes.era
+        if previous is None:
+            return []
+        values = {
+            "era": changes.era,
+            "before": previous,
+            "revision": changes.revision,
+            "known": self.revision,
+        }
+        return [forwarding.LogEntry("config:", "store was restored", values)]
+
     def _apply_deployment(
         self, change: DeploymentPut, log_entries: list[forwarding.LogEntry]
     ) -> None:
--- a/acacialatch/sources.py
+++ b/acacialatch/sources.py
@@ -135,11 +135,14 @@
         Value of `x-revision`, empty if there is none.
     body : bytes
         Body of a 200 answer; empty for other statuses.
+    fields : tuple of (bytes, bytes)
+        Header fields, names in lower case.
     """
 
     status: int
     revision: str
     body: bytes
+    fields: tuple[tuple[bytes, bytes], ...] = ()
 
 
 class _UnusableAnswerError(Exception):
@@ -242,6 +245,7 @@
         connection.send(request) + connection.send(h11.EndOfMessage())
     )
     status, revision, body = 0, "", bytearray()
+    fields: tuple[tuple[bytes, bytes], ...] = ()
     interim = received = 0
     while True:
         event = connection.next_event()
@@ -262,8 +266,9 @@
                 raise _UnusableAnswerError(errors.SourceErrorKind.MALFORMED, detail)
         elif isinstance(event, h11.Response):
             status, revision = event.status_code, _read_revision(event.headers)
+            fields = tuple(event.headers)
             if status != 200:
-                return Answer(status, "", b"")
+                return Answer(status, "", b"", fields)
             _check_framing(event)
         elif isinstance(event, h11.Data):
             body += event.data
@@ -271,7 +276,7 @@
                 detail = f"body is larger than {limit} bytes"
                 raise _UnusableAnswerError(errors.SourceErrorKind.TOO_LARGE, detail)
         elif isinstance(event, h11.EndOfMessage):
-            return Answer(status, revision, bytes(body))
+            return Answer(status, revision, bytes(body), fields)
 
 
 def _check_framing(response: h11.Response) -> None:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -416,3 +416,20 @@
     assert decode(make_send(), 429, fields, b"").rate_limit is None
     fields.append((b"Server-Limit", b"2"))
     assert decode(make_send(), 429, fields, b"").rate_limit == 2.0
+
+
+@pytest.mark.parametrize(
+    ("values", "era"), [([], None), ([b"1"], 1), ([b"7", b"7"], 7), ([b"0"], 0)]
+)
+def test_era_of_the_store_is_decoded(values, era):
+    """Guards against an answer that is taken for one of another era."""
+    fields = tuple((b"store-era", value) for value in values)
+    assert kvstore.read_era(fields) == era
+
+
+@pytest.mark.parametrize("values", [[b"-1"], [b"x"], [b""], [b"1", b"2"], [b"9" * 30]])
+def test_malformed_era_is_refused(values):
+    """Guards against an answer of an unknown era that is believed."""
+    fields = tuple((b"store-era", value) for value in values)
+    with pytest.raises(kvstore.FormatError):
+        kvstore.read_era(fields)
