Look for a free server every 10 ms unless rate limits bind

Cause: with the queue of calls, each waiting call looked again after 10 ms for itself and for each call before it, also where servers name no limit. Calls that wait for a slot of a busy server would then find it up to some tenths of a second late.

Change: 10 ms as before the queue; where all servers name a limit, the estimated time until the turn of the call, 0.1 s at most.

--- a/acacialatch/sending.py
+++ b/acacialatch/sending.py
@@ -25,6 +25,9 @@
 RECHECK_INTERVAL_S = 0.01
 """Interval in seconds at which a call without a usable server looks for one again."""
 
+LIMITED_RECHECK_INTERVAL_S = 0.1
+"""Longest interval in seconds between these looks while rate limits bind."""
+
 GRACE_PERIOD_S = 0.5
 """Time in seconds after which work that nobody waits for is cancelled.
 
@@ -343,8 +346,7 @@
         )
         if backend is None:
             if self._can_wait_for_server(now, exchange, call):
-                ahead = self._waiting.count_ahead(call.service, priority, call)
-                call.retry_at = now + (1 + ahead) * RECHECK_INTERVAL_S
+                call.retry_at = now + self._compute_recheck_delay(now, priority, call)
             else:
                 self._fail_waiting(exchange, call, "no usable server")
             return
@@ -436,6 +438,20 @@
             until = min(until, exchange.started + exchange.route.objective_s)
         return until - self.compute_hedge_delay(exchange.route)
 
+    def _compute_recheck_delay(
+        self, now: float, priority: int, call: exchanges.ServiceCall
+    ) -> float:
+        """Return after which time in seconds a waiting call looks for a server again.
+
+        A call that waits for rate limits does so less often, until its turn may come.
+        """
+        identities = [one.entry.identity for one in self._list_candidates(call)]
+        if not all(map(self.limits.has_limit, identities)):
+            return RECHECK_INTERVAL_S
+        ahead = self._waiting.count_ahead(call.service, priority, call)
+        wait_s = self.limits.compute_wait(now, identities, ahead)
+        return min(max(wait_s, RECHECK_INTERVAL_S), LIMITED_RECHECK_INTERVAL_S)
+
     def compute_wait(self, now: float, exchange: exchanges.Exchange) -> float:
         """Return the time until the rate limits allow a new request of this kind.
 
--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -45,7 +45,7 @@
         "partial_at <= now < objective_at or now >= late_at", "now >= late_at"
     ),
     "wait for full servers": Edit(
-        "call.retry_at = now + (1 + ahead) * RECHECK_INTERVAL_S",
+        "call.retry_at = now + self._compute_recheck_delay(now, priority, call)",
         'self._fail_waiting(exchange, call, "no usable server")',
     ),
     "queue at full servers": Edit(
