Let the era of the store go before its revisions

Cause: revisions were compared across the restore, after which the store gives them out again. Changes with lower revisions were ignored, watches after the old revision were refused again and again, and a change under the same revision was never read.

Change: the era, which the store states in each answer, goes before the revision. A read of a later era forgets the revisions; an answer of an earlier one is not applied. What the copy holds may be older than what is known, so deployments are compared by version and registrations by the start of the server and the number of its report. Servers and zones that the copy lacks have a grace period.

Why it works: within an era revisions are a total order; across eras nothing but what the values say of themselves is.

--- a/acacialatch/backends.py
+++ b/acacialatch/backends.py
@@ -196,8 +196,12 @@
         registered = self._backends.get(entry.identity)
         if registered is not None and registered.entry.service == entry.service:
             restarted = entry.started_ms != registered.entry.started_ms
-            changed = entry != registered.entry or registered.expires_at < math.inf
+            is_same = entry == registered.entry
+            changed = not is_same or registered.expires_at < math.inf
             registered.expires_at = math.inf
+            if is_same:
+                # Read once more; the time for which it warms up has begun before.
+                return changed
             registered.entry = entry
             registered.cold_until = now + entry.cold_s
             if restarted:
@@ -221,6 +225,12 @@
         del self._services[registered.entry.service][identity]
         return True
 
+    def keep(self, identity: str) -> None:
+        """Do not remove a server whose registration was found again."""
+        registered = self._backends.get(identity)
+        if registered is not None:
+            registered.expires_at = math.inf
+
     def schedule_expiry(self, now: float, identity: str) -> None:
         """Remove a server after `MISSING_GRACE_S` unless it is registered again."""
         registered = self._backends.get(identity)
@@ -250,12 +260,6 @@
             if one.entry.zone not in self._excluded_zones
         ]
 
-    def list_usable_zones(self, now: float, service: str) -> frozenset[str]:
-        """Return the availability zones with a usable server of a service."""
-        return frozenset(
-            one.entry.zone for one in self.list_servers(service) if one.is_usable(now)
-        )
-
     def choose(
         self,
         now: float,
--- a/acacialatch/entryinstance.py
+++ b/acacialatch/entryinstance.py
@@ -207,7 +207,9 @@
             random_source.getrandbits(32),
             trio.current_time(),
         )
-        self._registry = registry.Registry(self._forwarder)
+        self._registry = registry.Registry(
+            self._forwarder, settings.registration_lifetime_s
+        )
         own = members.Member(
             settings.name,
             time.time_ns() // 1_000_000,
--- a/acacialatch/entrysettings.py
+++ b/acacialatch/entrysettings.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from acacialatch import sending
+from acacialatch import registry, sending
 
 
 class EntrySettings(typing.NamedTuple):
@@ -40,6 +40,9 @@
         Number of processor cores that the process may use.
     stop_s : float
         Longest time from a stop signal to the end of the process, in seconds.
+    registration_lifetime_s : float
+        Time in seconds within which the store drops registrations of servers that
+        ended.
     """
 
     name: str
@@ -59,3 +62,4 @@
     address_lifetime_s: float
     capacity: float
     stop_s: float
+    registration_lifetime_s: float = registry.REGISTRATION_LIFETIME_S
--- a/acacialatch/registry.py
+++ b/acacialatch/registry.py
@@ -4,10 +4,29 @@
 availability zones out of service, each under a key with a revision.
 """
 
+import math
 import typing
 
 from acacialatch import backends, deployment, forwarder, forwarding
 
+ZONE_GRACE_S = 30.0
+"""Time in seconds for which a zone stays out that a restored store lacks.
+
+Operators write again what the store has lost; until then their last word counts.
+"""
+
+REGISTRATION_LIFETIME_S = 10.0
+"""Time in seconds within which the store drops registrations of servers that ended.
+
+The operators of the store drop them after three reports that did not come.
+"""
+
+REPORT_LIFETIME_S = 300.0
+"""Time in seconds for which the last report of a removed server is remembered.
+
+A copy of the store that is older may bring the server back.
+"""
+
 
 class DeploymentPut(typing.NamedTuple):
     """A deployment was written."""
@@ -77,20 +96,64 @@
     era: int | None = None
 
 
+class _Report(typing.NamedTuple):
+    """Latest report that is known of a server.
+
+    Attributes
+    ----------
+    started_ms, sequence : int
+        Start of the server and number of the report; see `backends.Entry`.
+    removed_at : float
+        Time in seconds at which the registration was removed; infinity if it was not.
+    """
+
+    started_ms: int
+    sequence: int
+    removed_at: float = math.inf
+
+
 class Registry:
     """Applies the store's changes to the forwarder.
 
+    Within one era of the store, revisions order all changes. A store that was restored
+    from a copy begins a new era; what the copy holds may be older than what is known.
+    It is then compared by what it says itself: deployments by version, registrations
+    by the start of the server and the number of its report.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the store up to which all changes are applied.
+    era : int or None
+        Era of the store; None if it tells none.
+    invalid_values : int
+        Values that could not be decoded.
+
     Parameters
     ----------
     target : forwarder.Forwarder
         Receives deployments and backend servers.
+    registration_lifetime_s : float
+        Time in seconds within which the store drops registrations of servers that
+        ended.
     """
 
-    def __init__(self, target: forwarder.Forwarder):
+    def __init__(
+        self,
+        target: forwarder.Forwarder,
+        registration_lifetime_s: float = REGISTRATION_LIFETIME_S,
+    ):
         self._target = target
+        self._registration_lifetime_s = registration_lifetime_s
         self._identity_by_key: dict[str, str] = {}
         self._excluded_zones: dict[str, str] = {}
         self._revision_by_key: dict[str, int] = {}
+        self._latest_reports: dict[str, _Report] = {}
+        # Registrations of a restored store that are older than what is known, with the
+        # time in seconds at which they count nevertheless.
+        self._held_registrations: dict[str, tuple[float, BackendPut]] = {}
+        # Keys of zones that a restored store lacks, with the time of their end.
+        self._missing_zones: dict[str, float] = {}
         self._grace_until = 0.0
         self._last_contact_at: float | None = None
         self.revision = 0
@@ -113,51 +176,119 @@
             self._grace_until = now + backends.MISSING_GRACE_S
         self._last_contact_at = now
 
+    def is_of_earlier_era(self, changes: Changes) -> bool:
+        """Return whether a restore of the store has overtaken an answer."""
+        return (
+            changes.era is not None and self.era is not None and changes.era < self.era
+        )
+
+    def is_of_later_era(self, changes: Changes) -> bool:
+        """Return whether the store was restored since it was last read.
+
+        An answer that tells no era shows it by a lower revision.
+        """
+        if changes.era is None or self.era is None:
+            return changes.revision < self.revision
+        return changes.era > self.era
+
     def apply_snapshot(
         self, now: float, snapshot: Changes
     ) -> list[forwarding.LogEntry]:
-        """Apply the whole content of the store; keys missing from it were removed."""
-        log_entries = self._apply(now, snapshot)
+        """Apply the whole content of the store; keys missing from it were removed.
+
+        A snapshot of an earlier era is ignored.
+        """
+        if self.is_of_earlier_era(snapshot):
+            return []
+        log_entries: list[forwarding.LogEntry] = []
+        is_restored = self.is_of_later_era(snapshot)
+        if is_restored:
+            self._begin_era(now, snapshot, log_entries)
+        if snapshot.era is not None:
+            self.era = snapshot.era
+        self._apply(now, snapshot, is_restored, log_entries)
         present = {change.key for change in snapshot.changes}
-        for key in list(self._identity_by_key) + list(self._excluded_zones):
+        for key in list(self._excluded_zones):
+            if key in present:
+                continue
+            if is_restored:
+                self._missing_zones.setdefault(key, now + ZONE_GRACE_S)
+            elif key not in self._missing_zones:
+                self._remove(now, key, log_entries)
+        for key in [*self._identity_by_key, *self._held_registrations]:
             if key not in present:
                 self._remove(now, key, log_entries)
         return log_entries
 
     def apply_changes(self, now: float, changes: Changes) -> list[forwarding.LogEntry]:
-        """Apply the changes after the last revision."""
-        return self._apply(now, changes)
+        """Apply the changes after the last revision, which are of the same era."""
+        log_entries: list[forwarding.LogEntry] = []
+        self._apply(now, changes, False, log_entries)
+        return log_entries
 
     def handle_timers(self, now: float) -> list[forwarding.LogEntry]:
-        """Remove servers whose registration is still missing after the grace period."""
-        return [
-            forwarding.LogEntry("server:", "lapsed", {"server": identity})
-            for identity in self._target.backends.remove_expired(now)
+        """Apply what has been held back, and remove what is still missing."""
+        log_entries: list[forwarding.LogEntry] = []
+        for identity in self._target.backends.remove_expired(now):
+            self._mark_removed(now, identity)
+            values = {"server": identity}
+            log_entries.append(forwarding.LogEntry("server:", "lapsed", values))
+        for until, change in list(self._held_registrations.values()):
+            if until <= now:
+                self._apply_backend(now, change, log_entries)
+        for key, until in list(self._missing_zones.items()):
+            if until <= now:
+                self._remove(now, key, log_entries)
+        forgotten = [
+            identity
+            for identity, report in self._latest_reports.items()
+            if now - report.removed_at >= REPORT_LIFETIME_S
         ]
+        for identity in forgotten:
+            del self._latest_reports[identity]
+        return log_entries
+
+    def _begin_era(
+        self, now: float, snapshot: Changes, log_entries: list[forwarding.LogEntry]
+    ) -> None:
+        """Forget the revisions, which say nothing of those of a restored store."""
+        values = {
+            "era": snapshot.era,
+            "before": self.era,
+            "revision": snapshot.revision,
+            "known": self.revision,
+        }
+        log_entries.append(forwarding.LogEntry("config:", "store was restored", values))
+        self._revision_by_key.clear()
+        self._held_registrations.clear()
+        self.revision = 0
+        self._grace_until = now + backends.MISSING_GRACE_S
+
+    def _apply(
+        self,
+        now: float,
+        changes: Changes,
+        is_restored: bool,
+        log_entries: list[forwarding.LogEntry],
+    ) -> None:
+        """Apply the changes that are newer than what is known of their keys.
 
-    def _apply(self, now: float, changes: Changes) -> list[forwarding.LogEntry]:
-        """Apply the changes that are newer than what is known of their keys."""
-        log_entries = self._record_era(changes)
+        `is_restored` tells that they are the copy from which the store was restored.
+        """
         for change in changes.changes:
-            known_revision = self._revision_by_key.get(change.key, 0)
-            if change.revision <= known_revision:
-                if change.revision < known_revision:
-                    values = {
-                        "key": change.key,
-                        "revision": change.revision,
-                        "known": known_revision,
-                    }
-                    log_entries.append(
-                        forwarding.LogEntry("config:", "older change ignored", values)
-                    )
+            if change.revision <= self._revision_by_key.get(change.key, 0):
                 continue
             self._revision_by_key[change.key] = change.revision
             match change:
                 case DeploymentPut():
                     self._apply_deployment(change, log_entries)
                 case BackendPut():
-                    self._apply_backend(now, change, log_entries)
+                    if is_restored and self._is_older_report(change.entry):
+                        self._hold(now, change, log_entries)
+                    else:
+                        self._apply_backend(now, change, log_entries)
                 case ZoneOut():
+                    self._missing_zones.pop(change.key, None)
                     self._excluded_zones[change.key] = change.zone
                     self._exclude_zone(change, log_entries)
                 case Removed():
@@ -173,21 +304,38 @@
                 case IgnoredKey():
                     pass
         self.revision = max(self.revision, changes.revision)
-        return log_entries
 
-    def _record_era(self, changes: Changes) -> list[forwarding.LogEntry]:
-        if changes.era is None or changes.era == self.era:
-            return []
-        previous, self.era = self.era, changes.era
-        if previous is None:
-            return []
-        values = {
-            "era": changes.era,
-            "before": previous,
-            "revision": changes.revision,
-            "known": self.revision,
-        }
-        return [forwarding.LogEntry("config:", "store was restored", values)]
+    def _is_older_report(self, entry: backends.Entry) -> bool:
+        """Return whether a registration differs from what is known, but is no newer."""
+        latest = self._latest_reports.get(entry.identity)
+        if latest is None:
+            return False
+        registered = self._target.backends.find(entry.identity)
+        if registered is not None and registered.entry == entry:
+            return False
+        known = (latest.started_ms, latest.sequence)
+        return (entry.started_ms, entry.sequence) <= known
+
+    def _hold(
+        self, now: float, change: BackendPut, log_entries: list[forwarding.LogEntry]
+    ) -> None:
+        """Hold a registration of a restored store back, and go on with what is known.
+
+        If its server has ended, the store drops it before it counts.
+        """
+        until = now + self._registration_lifetime_s
+        self._held_registrations[change.key] = (until, change)
+        identity = change.entry.identity
+        self._target.backends.keep(identity)
+        values = {"server": identity, "revision": change.revision}
+        log_entries.append(
+            forwarding.LogEntry("server:", "older registration held back", values)
+        )
+
+    def _mark_removed(self, now: float, identity: str) -> None:
+        report = self._latest_reports.get(identity)
+        if report is not None:
+            self._latest_reports[identity] = report._replace(removed_at=now)
 
     def _apply_deployment(
         self, change: DeploymentPut, log_entries: list[forwarding.LogEntry]
@@ -206,6 +354,8 @@
         self, now: float, change: BackendPut, log_entries: list[forwarding.LogEntry]
     ) -> None:
         entry = change.entry
+        self._held_registrations.pop(change.key, None)
+        self._latest_reports[entry.identity] = _Report(entry.started_ms, entry.sequence)
         self._identity_by_key[change.key] = entry.identity
         if self._target.backends.put(now, entry):
             values = {
@@ -225,6 +375,8 @@
 
         Soon after an outage, a server that is not draining is kept for a grace period.
         """
+        self._held_registrations.pop(key, None)
+        self._missing_zones.pop(key, None)
         if self._excluded_zones.pop(key, None) is not None:
             self._target.backends.set_zones_out(self._excluded_zones.values())
             log_entries.append(
@@ -240,6 +392,7 @@
         else:
             del self._identity_by_key[key]
             self._target.backends.remove(identity)
+            self._mark_removed(now, identity)
             text = "removed"
         log_entries.append(forwarding.LogEntry("server:", text, {"server": identity}))
 
--- a/acacialatch/store.py
+++ b/acacialatch/store.py
@@ -112,6 +112,16 @@
                 logs.write(logs.Part.CONFIG, "history of the store was dropped")
                 is_synchronized = False
                 continue
+            if self._registry.is_of_earlier_era(changes):
+                logs.write(logs.Part.CONFIG, "answer of an earlier era ignored")
+                is_synchronized = False
+                await trio.sleep(random.uniform(0.3, 1.0) * delay_s)
+                delay_s = min(RETRY_MAX_S, 2 * delay_s)
+                continue
+            if is_synchronized and self._registry.is_of_later_era(changes):
+                # Changes below the revision that was watched are not in this answer.
+                is_synchronized = False
+                continue
             try:
                 self._apply(changes, is_synchronized)
             except Exception as error:
