Give each waiting call its turn at the servers that it has not tried

Cause: the next call of a service held up all others at a limited server that it had tried itself, and a call of a batch that was given back kept its place until the batch ended, 0.5 s later.

Change: the turn at a server passes over calls that have tried it, and every way in which a call fails ends its wait. What concerns waits has moved from sending to waiting, and the forwarder gives its table of limits as it gives its backends.

--- a/acacialatch/entryinstance.py
+++ b/acacialatch/entryinstance.py
@@ -263,7 +263,7 @@
             self._gossip = gossip.Gossip(
                 self._members,
                 self._apply_members,
-                self._forwarder.list_limit_news,
+                self._forwarder.limits.list_news,
                 self._merge_limit_news,
             )
             await nursery.start(self._gossip.run)
@@ -436,7 +436,7 @@
                     self._members.unsettle(now)
                 previous = now
                 self._write_log_entries(self._registry.handle_timers(now))
-                self._write_log_entries(self._forwarder.forget_limits(now))
+                self._write_log_entries(self._forwarder.limits.remove_expired(now))
                 sends = self._forwarder.sends_made
                 self._members.set_load(self._load_meter.record_sends(now, sends))
                 if self._update_activity(now):
@@ -480,7 +480,7 @@
     def _merge_limit_news(
         self, now: float, news: tuple[members.LimitNews, ...]
     ) -> None:
-        self._write_log_entries(self._forwarder.merge_limit_news(now, news))
+        self._write_log_entries(self._forwarder.limits.merge_news(now, news))
 
     def _list_peers(self, now: float) -> list[backends.Entry]:
         """Return the peers that batches may be sent to.
@@ -588,7 +588,7 @@
                 "requests_open": float(self._forwarder.open_count),
                 "backend_connections": float(self._backend_client.connections),
                 "backend_servers": float(len(self._forwarder.backends)),
-                "backend_servers_limited": float(self._forwarder.limited_servers),
+                "backend_servers_limited": float(len(self._forwarder.limits)),
                 "entry_instances": float(self._members.count_sharing(now)),
                 "store_silent_s": math.inf
                 if last_contact_at is None
--- a/acacialatch/forwarder.py
+++ b/acacialatch/forwarder.py
@@ -4,7 +4,6 @@
 Nothing here reads a clock, a socket or a file.
 """
 
-import collections
 import heapq
 import math
 import random
@@ -45,6 +44,10 @@
         Deployment in force.
     counts : collections.Counter of str
         Number of events of each kind, for the metrics.
+    send_counts : collections.Counter of str
+        Number of attempts by `ratelimits.SendKind`, for the metrics.
+    limits : ratelimits.LimitTable
+        Rate limits that the servers name.
     calls_requested : int
         Calls of services that requests have asked for, refused ones included.
 
@@ -70,6 +73,8 @@
         self.backends = self._sender.backends
         self.peers = self._batches.peers
         self.counts = self._sender.counts
+        self.send_counts = self._sender.send_counts
+        self.limits = self._sender.limits
         self.deployment: deployment.Deployment | None = None
         self.calls_requested = 0
         self._route_table = deployment.RouteTable(())
@@ -88,20 +93,10 @@
         """Attempts sent to backend servers since the start of the process."""
         return self._sender.sends_made
 
-    @property
-    def send_counts(self) -> collections.Counter[str]:
-        """Attempts by `ratelimits.SendKind`, for the metrics."""
-        return self._sender.send_counts
-
-    @property
-    def limited_servers(self) -> int:
-        """Number of backend servers that name a rate limit."""
-        return len(self._sender.limits)
-
     def set_sharing(self, now: float, sharing: members.Sharing) -> None:
         """Set which entry instances share limits and budgets."""
         self._sender.instance_count = max(1, sharing.count)
-        self._sender.limits.set_sharing(now, sharing)
+        self.limits.set_sharing(now, sharing)
 
     def list_limit_news(self, now: float) -> tuple[members.LimitNews, ...]:
         """Return what other instances should know of the rate limits of servers."""
@@ -113,10 +108,6 @@
         """Take over what another instance knows of the rate limits of servers."""
         return self._sender.limits.merge_news(now, news)
 
-    def forget_limits(self, now: float) -> list[forwarding.LogEntry]:
-        """Forget the rate limits that no server has named for long."""
-        return self._sender.limits.remove_expired(now)
-
     def set_peers(self, now: float, entries: typing.Iterable[backends.Entry]) -> None:
         """Replace the list of other entry instances that accept batches."""
         self._batches.set_peers(now, entries)
@@ -215,7 +206,7 @@
             if call.service in self.deployment.services:
                 self._sender.start_attempt(now, exchange, call, actions)
             else:
-                sending.fail_call(exchange, call, "unknown service")
+                self._sender.fail_call(exchange, call, "unknown service")
         self._answer_if_due(now, exchange, actions)
         self._set_timer(now, exchange)
         return number, actions
@@ -511,7 +502,7 @@
             # they must not run here as well.
             for call in exchange.calls:
                 if not call.is_finished and not call.open_attempts:
-                    sending.fail_call(exchange, call, "given back")
+                    self._sender.fail_call(exchange, call, "given back")
             if any(shard.pending for shard in reply.open):
                 exchange.awaits_continuation = True
                 exchange.batch_due_at = now + sending.GRACE_PERIOD_S
--- a/acacialatch/sending.py
+++ b/acacialatch/sending.py
@@ -22,12 +22,6 @@
     waiting,
 )
 
-RECHECK_INTERVAL_S = 0.01
-"""Interval in seconds at which a call without a usable server looks for one again."""
-
-LIMITED_RECHECK_INTERVAL_S = 0.1
-"""Longest interval in seconds between these looks while rate limits bind."""
-
 GRACE_PERIOD_S = 0.5
 """Time in seconds after which work that nobody waits for is cancelled.
 
@@ -101,7 +95,7 @@
         self.counts: collections.Counter[str] = collections.Counter()
         self.send_counts: collections.Counter[str] = collections.Counter()
         self.limits = ratelimits.LimitTable(source)
-        self._waiting = waiting.WaitQueues()
+        self._limited_calls = waiting.LimitedCalls(self.limits)
         self._budget_bounds = budgets
         self._resend_budgets: dict[str, resends.ResendBudget] = {}
         self._latency_windows: dict[str, latencies.LatencyWindow] = {}
@@ -228,7 +222,6 @@
         connection_share = self._compute_connection_share(service)
         assert self.deployment is not None
         service_limits = self.deployment.services.get(service)
-        is_next: bool | None = None
         cold_rate = service_limits.cold_requests_per_s if service_limits else 0.0
 
         def is_within_limits(backend: backends.Backend) -> bool:
@@ -236,28 +229,18 @@
                 connection_share, backend.entry.slots + SERVER_QUEUE_MAX
             ):
                 return False
-            identity = backend.entry.identity
-            if self.limits.has_limit(identity):
-                if self.limits.next_send_at(now, identity) > now:
-                    return False
-                nonlocal is_next
-                if is_next is None:
-                    is_next = self._is_next(service, call)
-                if not is_next:
-                    return False
+            if not self._limited_calls.may_send(now, backend, call):
+                return False
             if cold_rate > 0 and now < backend.cold_until:
                 if backend.cold_pace is None:
-                    backend.cold_pace = self.limits.make_pace(now, identity, cold_rate)
+                    backend.cold_pace = self.limits.make_pace(
+                        now, backend.entry.identity, cold_rate
+                    )
                 return backend.cold_pace.next_send_at(now) <= now
             return True
 
         return is_within_limits
 
-    def _is_next(self, service: str, call: exchanges.ServiceCall | None) -> bool:
-        if call is None:
-            return self._waiting.is_empty(service)
-        return self._waiting.is_next(service, call)
-
     def hedge_or_retry_if_due(
         self,
         now: float,
@@ -296,7 +279,7 @@
             self._make_limit_check(now, call.service, None),
         )
         if backend is None:
-            call.hedge_at = now + RECHECK_INTERVAL_S
+            call.hedge_at = now + waiting.RECHECK_INTERVAL_S
             return
         if not self._get_resend_budget(call.service).try_acquire(
             now, self.instance_count, hedge=True
@@ -335,9 +318,9 @@
         priority = exchange.route.priority
         exhausted = call.possible_runs >= exchange.route.attempts_max
         if exhausted or (call.possible_runs and not exchange.is_idempotent):
-            self._fail_waiting(exchange, call, f"{call.possible_runs} runs are allowed")
+            self.fail_call(exchange, call, f"{call.possible_runs} runs are allowed")
             return
-        self._waiting.add(call.service, call, priority)
+        self._limited_calls.queues.add(call, priority)
         backend = self.backends.choose(
             now,
             call.service,
@@ -346,28 +329,32 @@
         )
         if backend is None:
             if self._can_wait_for_server(now, exchange, call):
-                call.retry_at = now + self._compute_recheck_delay(now, priority, call)
+                call.retry_at = now + self._limited_calls.compute_recheck_delay(
+                    now, priority, call, self._list_candidates(call)
+                )
             else:
-                self._fail_waiting(exchange, call, "no usable server")
+                self.fail_call(exchange, call, "no usable server")
             return
         if call.may_have_arrived:
             if not self._get_resend_budget(call.service).try_acquire(
                 now, self.instance_count
             ):
                 self.counts["retries_without_budget"] += 1
-                self._fail_waiting(exchange, call, "no budget for a resend")
+                self.fail_call(exchange, call, "no budget for a resend")
                 return
             exchange.retries += 1
             self.counts["retries"] += 1
-        self._waiting.grant(call.service, call)
+        self._limited_calls.queues.grant(call)
         self._send(now, exchange, call, backend, False, actions)
 
-    def _fail_waiting(
+    def fail_call(
         self, exchange: exchanges.Exchange, call: exchanges.ServiceCall, reason: str
     ) -> None:
-        """End a call that has waited for a server, without a successful reply."""
-        self._waiting.remove(call.service, call)
-        fail_call(exchange, call, reason)
+        """End a call without a successful reply; the reason goes to the log."""
+        self._limited_calls.queues.remove(call)
+        call.failed = True
+        call.trace.append(reason)
+        exchange.failed_count += 1
 
     def can_reach_coverage(self, now: float, exchange: exchanges.Exchange) -> bool:
         """Return whether enough shards have a server, or may soon have one."""
@@ -405,18 +392,14 @@
         for one in self._list_candidates(call):
             if self.limits.has_limit(one.entry.identity):
                 limited.append(one)
-            elif max(now + RECHECK_INTERVAL_S, one.retry_at, one.shed_until) < until:
+                continue
+            next_look_at = now + waiting.RECHECK_INTERVAL_S
+            if max(next_look_at, one.retry_at, one.shed_until) < until:
                 return True
-        if not limited:
-            return False
-        until = self._compute_last_send_at(exchange)
-        ahead = self._waiting.count_ahead(call.service, exchange.route.priority, call)
-        allowed = sum(
-            self.limits.count_until(now, until, one.entry.identity)
-            for one in limited
-            if max(one.retry_at, one.shed_until) < until
+        last_send_at = self._compute_last_send_at(exchange)
+        return self._limited_calls.can_send_until(
+            now, last_send_at, exchange.route.priority, call, limited
         )
-        return allowed > ahead
 
     def _list_candidates(self, call: exchanges.ServiceCall) -> list[backends.Backend]:
         """Return the servers that a call has not tried and that are not leaving."""
@@ -438,29 +421,20 @@
             until = min(until, exchange.started + exchange.route.objective_s)
         return until - self.compute_hedge_delay(exchange.route)
 
-    def _compute_recheck_delay(
-        self, now: float, priority: int, call: exchanges.ServiceCall
-    ) -> float:
-        """Return after which time in seconds a waiting call looks for a server again.
-
-        A call that waits for rate limits does so less often, until its turn may come.
-        """
-        identities = [one.entry.identity for one in self._list_candidates(call)]
-        if not all(map(self.limits.has_limit, identities)):
-            return RECHECK_INTERVAL_S
-        ahead = self._waiting.count_ahead(call.service, priority, call)
-        wait_s = self.limits.compute_wait(now, identities, ahead)
-        return min(max(wait_s, RECHECK_INTERVAL_S), LIMITED_RECHECK_INTERVAL_S)
-
     def compute_wait(self, now: float, exchange: exchanges.Exchange) -> float:
         """Return the time until the rate limits allow a new request of this kind.
 
         It is 0 seconds if no limit binds, and the time until enough shards can be
         called for a query over many shards.
         """
-        priority = exchange.route.priority
         waits_s = sorted(
-            self._compute_call_wait(now, priority, call) for call in exchange.calls
+            self._limited_calls.compute_wait(
+                now,
+                call.service,
+                exchange.route.priority,
+                self.backends.list_servers(call.service),
+            )
+            for call in exchange.calls
         )
         target = exchange.route.target
         needed = len(waits_s)
@@ -468,16 +442,6 @@
             needed = completion.count_needed(needed, target.coverage_min)
         return waits_s[needed - 1]
 
-    def _compute_call_wait(
-        self, now: float, priority: int, call: exchanges.ServiceCall
-    ) -> float:
-        servers = self.backends.list_servers(call.service)
-        identities = [one.entry.identity for one in servers if one.is_usable(now)]
-        if not identities or not all(map(self.limits.has_limit, identities)):
-            return 0.0
-        ahead = self._waiting.count_ahead(call.service, priority)
-        return self.limits.compute_wait(now, identities, ahead)
-
     def _send(
         self,
         now: float,
@@ -547,7 +511,7 @@
         Their replies are not used, but still tell how fast the servers are. A call that
         waits for a server no longer does.
         """
-        self._waiting.remove(call.service, call)
+        self._limited_calls.queues.remove(call)
         for attempt in call.open_attempts.values():
             del self._attempts[attempt.number]
             self._detached_attempts[attempt.number] = (
@@ -562,7 +526,7 @@
         self, call: exchanges.ServiceCall, actions: list[forwarding.Action]
     ) -> None:
         """Cancel the attempts of a call that are in flight, or end its wait."""
-        self._waiting.remove(call.service, call)
+        self._limited_calls.queues.remove(call)
         for attempt in call.open_attempts.values():
             del self._attempts[attempt.number]
             attempt.backend.end_send(attempt.number)
@@ -608,12 +572,3 @@
     if call.may_have_arrived:
         return ratelimits.SendKind.RETRY
     return ratelimits.SendKind.FIRST
-
-
-def fail_call(
-    exchange: exchanges.Exchange, call: exchanges.ServiceCall, reason: str
-) -> None:
-    """End a call without a successful reply; the reason goes to the log."""
-    call.failed = True
-    call.trace.append(reason)
-    exchange.failed_count += 1
--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -45,8 +45,8 @@
         "partial_at <= now < objective_at or now >= late_at", "now >= late_at"
     ),
     "wait for full servers": Edit(
-        "call.retry_at = now + self._compute_recheck_delay(now, priority, call)",
-        'self._fail_waiting(exchange, call, "no usable server")',
+        "if self._can_wait_for_server(now, exchange, call):\n",
+        "if False:\n",
     ),
     "queue at full servers": Edit(
         "\nSERVER_QUEUE_MAX = 1\n", "\nSERVER_QUEUE_MAX = 10_000\n"
--- a/tests/test_ratelimits.py
+++ b/tests/test_ratelimits.py
@@ -136,8 +136,8 @@
         if index not in self.tables:
             return
         wants_all = self.tables[index].merge_digest(self.now, digest)
-        news = self.cores[sender].list_limit_news(self.now)
-        self.cores[index].merge_limit_news(self.now, news)
+        news = self.cores[sender].limits.list_news(self.now)
+        self.cores[index].limits.merge_news(self.now, news)
         if wants_all or digest.wants_all:
             table = self.tables[index]
             answer = table.make_digest(self.now, digest.wants_all, wants_all)
