Let a server that turns cold once more get its rate again

Cause: the pace of a cold server also counted the requests that it got once warm. A server that turned cold again without a restart would have got none.

Change: the pace ends with the time for which the server warms up.

--- a/acacialatch/sending.py
+++ b/acacialatch/sending.py
@@ -459,7 +459,9 @@
         number = self.take_number()
         delay_s = self.compute_hedge_delay(exchange.route)
         backend.start_send(number, now + delay_s)
-        if backend.cold_pace is not None:
+        if now >= backend.cold_until:
+            backend.cold_pace = None
+        elif backend.cold_pace is not None:
             backend.cold_pace.record_send(now)
         call.open_attempts[number] = exchanges.Attempt(number, backend, now, hedge)
         call.tried.add(backend.entry.identity)
--- a/tests/test_ratelimits.py
+++ b/tests/test_ratelimits.py
@@ -359,6 +359,18 @@
     assert len(times) >= 2
 
 
+def test_server_that_is_cold_once_more_gets_its_rate_again():
+    """Guards against requests to the warm server that count when it is cold again."""
+    fleet = Fleet(1, (math.inf,), 40.0, 1, cold_rate=4.0)
+    for began_at in (5.0, 15.0):
+        fleet.run(began_at)
+        server = fleet.cores[0].backends.find("ledger-0").entry
+        cold = server._replace(cold_s=3.0, sequence=int(began_at))
+        fleet.cores[0].backends.put(fleet.now, cold)
+        fleet.run(began_at + 2.9)
+        assert 6 <= fleet.count_arrivals("ledger-0", began_at, began_at + 2.9) <= 17
+
+
 @pytest.mark.parametrize("rate", [0.0, 0.3, 2.0, 5.6, 400.0])
 @pytest.mark.parametrize(("count", "active"), [(1, 1), (7, 7), (59, 8), (300, 300)])
 def test_shares_of_all_instances_are_within_the_limit(count, active, rate):
