--- a/acacialatch/forwarder.py
+++ b/acacialatch/forwarder.py
@@ -98,16 +98,6 @@
         self._sender.instance_count = max(1, sharing.count)
         self.limits.set_sharing(now, sharing)
 
-    def list_limit_news(self, now: float) -> tuple[members.LimitNews, ...]:
-        """Return what other instances should know of the rate limits of servers."""
-        return self._sender.limits.list_news(now)
-
-    def merge_limit_news(
-        self, now: float, news: typing.Iterable[members.LimitNews]
-    ) -> list[forwarding.LogEntry]:
-        """Take over what another instance knows of the rate limits of servers."""
-        return self._sender.limits.merge_news(now, news)
-
     def set_peers(self, now: float, entries: typing.Iterable[backends.Entry]) -> None:
         """Replace the list of other entry instances that accept batches."""
         self._batches.set_peers(now, entries)
