Log each read of the store that brought changes

Callers got 404 for a route that had been added 5 s before. The log did not tell whether the change was in no answer yet, in an answer that came late, or applied late. The line names the revisions and the number of changes of an answer, the pause before the read and the time that it took. Instances pause after each such answer, which bounds the number of lines.

--- a/acacialatch/store.py
+++ b/acacialatch/store.py
@@ -92,6 +92,9 @@
         pause_s = self._pause_min_s
         while True:
             self.reads += 1
+            started_at = trio.current_time()
+            after = self._registry.revision
+            paused_s = pause_s
             if is_synchronized:
                 # A watch that the store has lost must end as soon as without a pause.
                 wait_s = self._watch_wait_s - (pause_s - self._pause_min_s)
@@ -131,6 +134,17 @@
                 await trio.sleep(delay_s)
                 delay_s = min(RETRY_MAX_S, 2 * delay_s)
                 continue
+            if changes.changes:
+                logs.write(
+                    logs.Part.CONFIG,
+                    "store read",
+                    whole=not is_synchronized,
+                    after=after,
+                    revision=changes.revision,
+                    changes=len(changes.changes),
+                    paused_s=round(paused_s, 3),
+                    took_s=round(trio.current_time() - started_at, 3),
+                )
             delay_s = RETRY_FIRST_S
             is_synchronized = True
             if changes.changes:
