Read on at once while the store may have cut an answer

Cause: the store cuts an answer to a watch at 500 changes, and the reader paused after it as after a complete one. A resharding writes more than 200 changes a second; an instance without load pauses 2.25 s between reads and fell 15 s behind. The log of front-ba-c-8 has five reads of 500 changes in a row, each after a pause of 2.25 s; the store had acknowledged the route at 7.191 s, it was in force at 12.43 s.

Change: the adapter marks an answer that may be cut, and no pause follows it.

--- a/acacialatch/registry.py
+++ b/acacialatch/registry.py
@@ -89,11 +89,14 @@
     era : int or None
         Era of the store, which rises each time that the store comes back from an older
         copy; revisions of different eras cannot be compared. None if it is not told.
+    may_continue : bool
+        Whether the store may have cut the answer, so that it has further changes.
     """
 
     revision: int
     changes: tuple[Change, ...]
     era: int | None = None
+    may_continue: bool = False
 
 
 class _Report(typing.NamedTuple):
--- a/acacialatch/store.py
+++ b/acacialatch/store.py
@@ -36,8 +36,9 @@
     async def watch(self, after: int, wait_s: float) -> WatchResult:
         """Return the changes after a revision, as soon as there are any.
 
-        The result has no changes if none came within `wait_s` seconds. It is
-        `HistoryLost` if the store has dropped changes after the revision.
+        The result has no changes if none came within `wait_s` seconds, and the first
+        of them if the store cuts a long series. It is `HistoryLost` if the store has
+        dropped changes after the revision.
         """
 
 
@@ -147,7 +148,7 @@
                 )
             delay_s = RETRY_FIRST_S
             is_synchronized = True
-            if changes.changes:
+            if changes.changes and not changes.may_continue:
                 pause_s = max(self._pause_min_s, self._choose_pause())
                 await trio.sleep(pause_s)
 
