Derive the times of the reads of the store from one bound

A change acknowledged after a watch that the store lost was in force after 5.1 s of 5, or 3.5 s of 3.

Cause: time limits each within the bound, whose sum was not.

Change: freshness.plan_reads divides the bound among the parts of the longest case. A pause and the watch after it take what the rest leaves; a bound that is too short is refused with the settings.

Evidence: the new test loses the watch and refuses the next read; with the old values its cases of a fresh watch fail (bounds 3 and 5 s).

--- a/acacialatch/entryinstance.py
+++ b/acacialatch/entryinstance.py
@@ -227,9 +227,8 @@
             interfaces.store,
             self._registry,
             self._write_log_entries,
-            settings.watch_s,
+            settings.reads,
             self._choose_read_pause,
-            settings.pause_s,
         )
         self._load_meter = addresses.LoadMeter()
         self._demand_meter = addresses.LoadMeter()
@@ -469,8 +468,8 @@
         running_s = trio.current_time() - self._started_at
         is_idle = self._members.own.load < IDLE_LOAD_CORES
         if running_s > IDLE_AFTER_S and is_idle:
-            return self._settings.idle_pause_s
-        return self._settings.pause_s
+            return self._settings.reads.idle_pause_s
+        return self._settings.reads.pause_s
 
     def _apply_members(self) -> None:
         """Pass the number of entry instances and the peers to the forwarder."""
--- a/acacialatch/entrysettings.py
+++ b/acacialatch/entrysettings.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from acacialatch import registry, sending
+from acacialatch import freshness, registry, sending
 
 
 class EntrySettings(typing.NamedTuple):
@@ -26,12 +26,8 @@
         Gossip addresses of the peers to contact first.
     store_address : str
         Address of the platform's store.
-    watch_s : float
-        Longest wait of one read of changes from the store, in seconds.
-    pause_s : float
-        Pause between a change and the next read, in seconds.
-    idle_pause_s : float
-        The same while the instance has next to no requests, in seconds.
+    reads : freshness.ReadSchedule
+        Times of the reads of the store.
     budgets : sending.Budgets
         Limits of repeated sends.
     address_lifetime_s : float
@@ -55,9 +51,7 @@
     gossip_address: str
     seeds: tuple[str, ...]
     store_address: str
-    watch_s: float
-    pause_s: float
-    idle_pause_s: float
+    reads: freshness.ReadSchedule
     budgets: sending.Budgets
     address_lifetime_s: float
     capacity: float
--- a/acacialatch/store.py
+++ b/acacialatch/store.py
@@ -7,14 +7,10 @@
 import result
 import trio
 
-from acacialatch import errors, forwarding, logs, registry
+from acacialatch import errors, forwarding, freshness, logs, registry
 
-RETRY_FIRST_S = 0.1
-RETRY_MAX_S = 1.0
-"""First and largest delay before a read is repeated; it doubles with each failure.
-
-Jitter shortens it to 0.3 to 1 times that.
-"""
+RETRY_JITTER_MIN = 0.3
+"""Smallest share of the delay before a read is repeated, which is drawn at random."""
 
 
 class HistoryLost(typing.NamedTuple):
@@ -53,15 +49,12 @@
         Receives the content and the changes.
     on_change : callable
         Called with the log entries of each read that succeeded.
-    watch_s : float
-        Longest wait of one watch, in seconds. A watch that the store has lost goes
-        unnoticed until it ends, so the wait must be shorter than the time within
-        which changes must be in force.
+    schedule : freshness.ReadSchedule
+        Times of the reads. A watch that the store has lost goes unnoticed until it
+        ends, so a pause and the watch after it together take `silence_s` at most.
     choose_pause : callable
         Returns the pause after a change, in seconds, so that a series of changes takes
-        few reads. The next watch is shorter by what the pause exceeds the shortest one.
-    pause_min_s : float
-        Shortest pause in seconds.
+        few reads.
     """
 
     def __init__(
@@ -69,16 +62,15 @@
         store: Store,
         target: registry.Registry,
         on_change: typing.Callable[[list[forwarding.LogEntry]], None],
-        watch_s: float,
+        schedule: freshness.ReadSchedule,
         choose_pause: typing.Callable[[], float],
-        pause_min_s: float,
     ):
         self._store = store
         self._registry = target
         self._on_change = on_change
-        self._watch_wait_s = watch_s
+        self._schedule = schedule
         self._choose_pause = choose_pause
-        self._pause_min_s = pause_min_s
+        self._retry_delay_s = schedule.retry_first_s
         self._is_reachable = False
         self.reads = 0
         self.failures = 0
@@ -89,17 +81,13 @@
         After a failure or lost history, everything is read again.
         """
         is_synchronized = False
-        delay_s = RETRY_FIRST_S
-        pause_s = self._pause_min_s
+        pause_s = 0.0
         while True:
             self.reads += 1
             started_at = trio.current_time()
             after = self._registry.revision
-            paused_s = pause_s
             if is_synchronized:
-                # A watch that the store has lost must end as soon as without a pause.
-                wait_s = self._watch_wait_s - (pause_s - self._pause_min_s)
-                pause_s = self._pause_min_s
+                wait_s = self._schedule.silence_s - pause_s
                 answer = await self._store.watch(self._registry.revision, wait_s)
             else:
                 answer = await self._store.read_all()
@@ -107,8 +95,7 @@
                 self._record_failure(answer.err_value)
                 # The store may meanwhile drop changes that a new watch would miss.
                 is_synchronized = False
-                await trio.sleep(random.uniform(0.3, 1.0) * delay_s)
-                delay_s = min(RETRY_MAX_S, 2 * delay_s)
+                await self._wait_for_retry()
                 continue
             self._record_success()
             changes = answer.ok_value
@@ -119,8 +106,7 @@
             if self._registry.is_of_earlier_era(changes):
                 logs.write(logs.Part.CONFIG, "answer of an earlier era ignored")
                 is_synchronized = False
-                await trio.sleep(random.uniform(0.3, 1.0) * delay_s)
-                delay_s = min(RETRY_MAX_S, 2 * delay_s)
+                await self._wait_for_retry()
                 continue
             if is_synchronized and self._registry.is_of_later_era(changes):
                 # Changes below the revision that was watched are not in this answer.
@@ -132,8 +118,7 @@
                 # One change that cannot be applied must not end the process.
                 logs.write(logs.Part.PROCESS, "defect", error=repr(error))
                 is_synchronized = False
-                await trio.sleep(delay_s)
-                delay_s = min(RETRY_MAX_S, 2 * delay_s)
+                await self._wait_for_retry()
                 continue
             if changes.changes:
                 logs.write(
@@ -143,15 +128,22 @@
                     after=after,
                     revision=changes.revision,
                     changes=len(changes.changes),
-                    paused_s=round(paused_s, 3),
+                    paused_s=round(pause_s, 3),
                     took_s=round(trio.current_time() - started_at, 3),
                 )
-            delay_s = RETRY_FIRST_S
+            self._retry_delay_s = self._schedule.retry_first_s
             is_synchronized = True
+            pause_s = 0.0
             if changes.changes and not changes.may_continue:
-                pause_s = max(self._pause_min_s, self._choose_pause())
+                pause_s = self._choose_pause()
                 await trio.sleep(pause_s)
 
+    async def _wait_for_retry(self) -> None:
+        """Wait before a read is repeated, longer after each failure in a row."""
+        jitter = random.uniform(RETRY_JITTER_MIN, 1.0)
+        await trio.sleep(jitter * self._retry_delay_s)
+        self._retry_delay_s = min(self._schedule.retry_max_s, 2 * self._retry_delay_s)
+
     def _apply(self, changes: registry.Changes, is_synchronized: bool) -> None:
         """Apply the answer to a watch, or the whole content, and report it."""
         now = trio.current_time()
--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -59,9 +59,7 @@
     "digests of the zone only": Edit(
         "not near and member.zone != self.own.zone", "False"
     ),
-    "pause between reads": Edit(
-        "\nREAD_PAUSE_RATIO = 0.15", "\nREAD_PAUSE_RATIO = 0.0"
-    ),
+    "pause between reads": Edit("\nPAUSE_SHARE = 0.15", "\nPAUSE_SHARE = 0.0"),
 }
 
 
--- a/tests/keyvalue.py
+++ b/tests/keyvalue.py
@@ -32,8 +32,6 @@
         Revision of the last change.
     watches, reads : int
         Watches and reads of a page so far.
-    lost_watches : int
-        Watches that are still to be lost: they are never answered.
     refusals : int
         Calls that are still to be answered with `refusal_status`.
     """
@@ -41,7 +39,6 @@
     def __init__(self) -> None:
         self.revision = 0
         self.watches = self.reads = 0
-        self.lost_watches = 0
         self.refusals = 0
         self.refusal_status = 429
         self._items: dict[str, Event] = {}
@@ -49,6 +46,7 @@
         self._oldest = 0
         self._changed = trio.Event()
         self._cut = trio.Event()
+        self._lost = trio.Event()
 
     def put(self, key: str, value: dict[str, typing.Any]) -> int:
         """Write an item; return its revision."""
@@ -64,8 +62,14 @@
         self._oldest = self.revision
         self.cut_watches()
 
+    def lose_watches(self) -> None:
+        """Never answer the watches that wait, and refuse the next call."""
+        self._lost.set()
+        self._lost = trio.Event()
+        self.refusals = 1
+
     def cut_watches(self) -> None:
-        """Cut the watches that wait, lost ones included."""
+        """Cut the watches that wait."""
         self._cut.set()
         self._cut = trio.Event()
 
@@ -106,14 +110,12 @@
         return httpserver.Response(200, json.dumps(page).encode())
 
     async def _answer_watch(self, after: int, wait_s: float) -> httpserver.Response:
-        cut = self._cut
-        if self.lost_watches:
-            self.lost_watches -= 1
-            await cut.wait()
-            raise ConnectionResetError
+        cut, lost = self._cut, self._lost
         with trio.move_on_after(wait_s):
             while self.revision <= after and not cut.is_set():
                 await self._wait_for_change(cut)
+        if lost.is_set():
+            await trio.sleep_forever()
         if cut.is_set():
             raise ConnectionResetError
         if after < self._oldest:
@@ -168,12 +170,16 @@
     ----------
     served : KeyValueStore
         The store.
+    call_timeout_s : float
+        Timeout of a call beyond its wait, in seconds.
     delay_s : float
         Time that an answer takes, in seconds.
     """
 
-    def __init__(self, served: KeyValueStore, delay_s: float = 0.004) -> None:
-        super().__init__("127.0.0.1:1")
+    def __init__(
+        self, served: KeyValueStore, call_timeout_s: float, delay_s: float = 0.004
+    ) -> None:
+        super().__init__("127.0.0.1:1", call_timeout_s)
         self._served = served
         self._delay_s = delay_s
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -127,9 +127,9 @@
     assert settings.budgets == (0.2, 54.0, 10.0)
     assert settings.stop_s < 6
     assert settings.capacity == pytest.approx(2.151)
-    assert settings.watch_s + kvstore.CALL_TIMEOUT_S < 3.3
-    assert settings.pause_s == pytest.approx(0.45)
-    assert settings.idle_pause_s == pytest.approx(1.35)
+    assert settings.reads.bound_s == 3.0
+    assert settings.reads.pause_s == pytest.approx(0.45)
+    assert settings.reads.idle_pause_s == pytest.approx(1.35)
 
 
 @pytest.mark.parametrize(
@@ -139,6 +139,7 @@
         ("grace_s = 6", 'grace_s = "soon"', "soon"),
         ("[bounds]", "[bounds", ""),
         ("[7380, 7395]", "[]", "valid"),
+        ("config_apply_ms = 3000", "config_apply_ms = 400", "0.4"),
     ],
 )
 def test_invalid_settings_are_refused(old, new, expected_text):
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -9,11 +9,13 @@
     deployment,
     errors,
     forwarder,
+    freshness,
     registry,
     sending,
     store,
 )
 
+SCHEDULE = freshness.plan_reads(3.0).ok_value
 LOST = result.Err(errors.SourceFailure(errors.SourceErrorKind.UNREACHABLE, "cut"))
 
 
@@ -58,9 +60,8 @@
         scripted,
         registry.Registry(core),
         lambda log_entries: None,
-        2.4,
+        SCHEDULE,
         lambda: pause_s,
-        0.45,
     )
     nursery.start_soon(watcher.run)
     return core
@@ -206,9 +207,12 @@
     """Guards against a change that is in force too late if the store loses a watch."""
     scripted = ScriptedStore()
     scripted.watches.append(result.Ok(registry.Changes(2, (make_deployment(2, 2),))))
-    start_watcher(nursery, scripted, pause_s=1.35)
+    pause_s = SCHEDULE.idle_pause_s
+    start_watcher(nursery, scripted, pause_s)
     await trio.sleep(10.0)
-    assert scripted.waits[:3] == pytest.approx([1.5, 1.5, 2.4])
+    silence_s = SCHEDULE.silence_s
+    expected = [silence_s - pause_s, silence_s - pause_s, silence_s]
+    assert scripted.waits[:3] == pytest.approx(expected)
 
 
 async def test_idle_instance_reads_a_series_of_changes_less_often(
@@ -216,7 +220,7 @@
 ):
     """Guards against a large fleet whose idle instances use up the store's rate."""
     reads = []
-    for pause_s in (0.45, 1.35):
+    for pause_s in (SCHEDULE.pause_s, SCHEDULE.idle_pause_s):
         scripted = ScriptedStore()
         scripted.watches += [
             result.Ok(registry.Changes(n, (make_deployment(n, n),)))
