Let digests tell how far entry instances have read the store

Nothing told the instance that it was behind, and it answered as if it were current.

Cause: each instance judged its own deployment by its own reads alone. The class of fault is a negative answer from a cache that may be outdated.

Change: a digest has the version in force and the revision read. A newer deployment is read at once; other changes if the next read has not brought them within the longest pause. A watch that stays silent meanwhile is replaced. A path without a route is answered 503 with Retry-After while the instance has reason to think that it is behind, else 404.

--- a/acacialatch/entryinstance.py
+++ b/acacialatch/entryinstance.py
@@ -21,6 +21,7 @@
     exposition,
     forwarder,
     forwarding,
+    freshness,
     gossip,
     httpserver,
     logs,
@@ -201,11 +202,13 @@
         self._reload = reload
         self._started_at = trio.current_time()
         random_source = random.SystemRandom()
+        self._evidence = freshness.Evidence(settings.reads)
         self._forwarder = forwarder.Forwarder(
             settings.zone,
             settings.budgets,
             random_source.getrandbits(32),
             trio.current_time(),
+            self._evidence,
         )
         self._registry = registry.Registry(
             self._forwarder, settings.registration_lifetime_s
@@ -229,6 +232,7 @@
             self._write_log_entries,
             settings.reads,
             self._choose_read_pause,
+            self._evidence,
         )
         self._load_meter = addresses.LoadMeter()
         self._demand_meter = addresses.LoadMeter()
@@ -472,8 +476,17 @@
         return self._settings.reads.pause_s
 
     def _apply_members(self) -> None:
-        """Pass the number of entry instances and the peers to the forwarder."""
+        """Pass the entry instances to the forwarder, and exchange what they have read.
+
+        If others have read more of the store, the next read is made at once.
+        """
         now = trio.current_time()
+        position = self._registry.position
+        self._members.set_position(position)
+        reports = self._members.list_positions(now)
+        if self._evidence.record_reports(now, position, reports):
+            logs.write(logs.Part.CONFIG, "others know more", **position._asdict())
+            self._store_watcher.hasten()
         self._forwarder.set_sharing(now, self._members.get_sharing(now))
         self._forwarder.set_peers(now, self._list_peers(now))
 
@@ -579,6 +592,7 @@
                 **{name: float(n) for name, n in self._forwarder.send_counts.items()},
                 "store_reads": float(self._store_watcher.reads),
                 "store_failures": float(self._store_watcher.failures),
+                "store_reads_hastened": float(self._store_watcher.hastened),
                 "store_unreadable": float(self._registry.invalid_values),
                 "connections_opened": float(self._backend_client.opened),
                 "log_dropped": float(self._log.dropped),
--- a/acacialatch/forwarder.py
+++ b/acacialatch/forwarder.py
@@ -17,6 +17,7 @@
     errors,
     exchanges,
     forwarding,
+    freshness,
     members,
     sending,
 )
@@ -62,11 +63,19 @@
     started : float
         Start of the process in seconds. The retry budgets of a process that has just
         started are smaller; see `resends.ResendBudget`.
+    evidence : freshness.Evidence or None
+        Tells whether there may be a newer deployment; without it there is none.
     """
 
     def __init__(
-        self, zone: str, budgets: sending.Budgets, seed: int, started: float = -math.inf
+        self,
+        zone: str,
+        budgets: sending.Budgets,
+        seed: int,
+        started: float = -math.inf,
+        evidence: freshness.Evidence | None = None,
     ):
+        self._evidence = evidence or freshness.Evidence()
         self._random = random.Random(seed)
         self._sender = sending.AttemptSender(zone, budgets, started, self._random)
         self._batches = batching.BatchSender(zone, self._sender, self._random)
@@ -125,10 +134,11 @@
         batches to entry instances in the zones of their servers, unless a batch would
         be too small. All other calls go directly to the servers. The request is refused
         without an attempt if it has no route, if its deadline has passed or if too few
-        shards have a server.
+        shards have a server. A path without a route is unknown only if the deployment
+        is the newest one; otherwise the caller may retry.
         """
         number = self._sender.take_number()
-        route = self._find_route(request)
+        route = self._find_route(now, request)
         if isinstance(route, errors.ErrorKind):
             return number, self._refuse_new(number, request, route)
         assert self.deployment is not None
@@ -174,7 +184,7 @@
         the whole query. Return the number of the batch and the actions.
         """
         number = self._sender.take_number()
-        route = self._find_route(batch.request)
+        route = self._find_route(now, batch.request)
         if isinstance(route, errors.ErrorKind):
             return number, self._refuse_new(number, batch.request, route)
         assert self.deployment is not None
@@ -226,12 +236,16 @@
         return exchange.number, actions
 
     def _find_route(
-        self, request: forwarding.Request
+        self, now: float, request: forwarding.Request
     ) -> deployment.Route | errors.ErrorKind:
         if self.deployment is None:
             return errors.ErrorKind.NO_CONFIGURATION
         route = self._route_table.find(request.host, request.path)
-        return errors.ErrorKind.UNKNOWN_PATH if route is None else route
+        if route is not None:
+            return route
+        if self._evidence.is_behind(now, self.deployment.version):
+            return errors.ErrorKind.NOT_CURRENT
+        return errors.ErrorKind.UNKNOWN_PATH
 
     def handle_caller_gone(self, now: float, number: int) -> list[forwarding.Action]:
         """Cancel the work for a request whose caller has disconnected."""
--- a/acacialatch/members.py
+++ b/acacialatch/members.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from acacialatch import freshness
+
 PERIOD_S = 0.5
 """Interval between digests in seconds."""
 
@@ -117,12 +119,15 @@
         Whether the receiver should answer with all members in full.
     limits : tuple of LimitNews
         Rate limits of backend servers.
+    position : freshness.Position or None
+        How far the sender has read the store.
     """
 
     members: list[Member]
     heartbeats: list[tuple[int, Counter]]
     wants_all: bool
     limits: tuple[LimitNews, ...] = ()
+    position: freshness.Position | None = None
 
 
 class Sharing(typing.NamedTuple):
@@ -178,6 +183,9 @@
         self._unconfirmed: set[str] = set()
         self._random = random.Random(seed)
         self._settled_at = math.inf
+        self._position: freshness.Position | None = None
+        # Reports of other instances, each with its time in seconds.
+        self._positions: dict[str, tuple[float, freshness.Position]] = {}
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the gossip addresses from the settings."""
@@ -204,6 +212,22 @@
             self.unsettle(now)
         return changed
 
+    def set_position(self, position: freshness.Position) -> None:
+        """Announce how far this instance has read the store."""
+        limit = freshness.POSITION_MAX
+        self._position = freshness.Position(*(min(one, limit) for one in position))
+
+    def list_positions(self, now: float) -> list[freshness.Position]:
+        """Return how far others had read the store when they sent their last digest.
+
+        Reports older than `freshness.REPORT_LIFETIME_S` are left out.
+        """
+        return [
+            position
+            for at, position in self._positions.values()
+            if now - at < freshness.REPORT_LIFETIME_S
+        ]
+
     def unsettle(self, now: float) -> None:
         """Take no share of the limits until the others can have heard of this instance.
 
@@ -242,7 +266,7 @@
                 full.append(member)
             else:
                 heartbeats.append((_make_key(member), member.heartbeat))
-        return Digest(full, heartbeats, wants_all)
+        return Digest(full, heartbeats, wants_all, position=self._position)
 
     def merge_digest(self, now: float, digest: Digest) -> bool:
         """Merge a digest; return whether it has heartbeats of unknown members.
@@ -255,6 +279,8 @@
             if not is_sender and not is_known:
                 self._unconfirmed.add(member.name)
             self._merge_member(now, member)
+        if digest.members and digest.position is not None:
+            self._positions[digest.members[0].name] = (now, digest.position)
         all_known = True
         own_key = _make_key(self.own)
         for key, heartbeat in digest.heartbeats:
@@ -368,3 +394,4 @@
             del self._heard_at[name]
             self._unconfirmed.discard(name)
             del self._changed_at[name]
+            self._positions.pop(name, None)
--- a/acacialatch/registry.py
+++ b/acacialatch/registry.py
@@ -7,7 +7,7 @@
 import math
 import typing
 
-from acacialatch import backends, deployment, forwarder, forwarding
+from acacialatch import backends, deployment, forwarder, forwarding, freshness
 
 ZONE_GRACE_S = 30.0
 """Time in seconds for which a zone stays out that a restored store lacks.
@@ -168,6 +168,13 @@
         """Time of the store's latest answer, in seconds; None before the first."""
         return self._last_contact_at
 
+    @property
+    def position(self) -> freshness.Position:
+        """How far the store is applied."""
+        deployed = self._target.deployment
+        version = deployed.version if deployed is not None else 0
+        return freshness.Position(version, self.era or 0, self.revision)
+
     def record_contact(self, now: float, after_outage: bool) -> None:
         """Record an answer of the store.
 
--- a/acacialatch/store.py
+++ b/acacialatch/store.py
@@ -1,6 +1,7 @@
 """Watches the platform's store and keeps the registry up to date."""
 
 import abc
+import contextlib
 import random
 import typing
 
@@ -55,6 +56,8 @@
     choose_pause : callable
         Returns the pause after a change, in seconds, so that a series of changes takes
         few reads.
+    evidence : freshness.Evidence
+        Receives the times of the answers.
     """
 
     def __init__(
@@ -64,16 +67,33 @@
         on_change: typing.Callable[[list[forwarding.LogEntry]], None],
         schedule: freshness.ReadSchedule,
         choose_pause: typing.Callable[[], float],
+        evidence: freshness.Evidence,
     ):
         self._store = store
         self._registry = target
         self._on_change = on_change
         self._schedule = schedule
         self._choose_pause = choose_pause
+        self._evidence = evidence
         self._retry_delay_s = schedule.retry_first_s
+        self._wait_scope: trio.CancelScope | None = None
+        self._hasten_from = 0.0
         self._is_reachable = False
         self.reads = 0
         self.failures = 0
+        self.hastened = 0
+
+    def hasten(self) -> None:
+        """Read at once, since the store must have changes that are not known yet.
+
+        Ends a pause. A watch that the store has not lost is answered within the timeout
+        of a call, so it is replaced only after that.
+        """
+        if self._wait_scope is None:
+            return
+        self.hastened += 1
+        ends_at = max(trio.current_time(), self._hasten_from)
+        self._wait_scope.deadline = min(self._wait_scope.deadline, ends_at)
 
     async def run(self) -> None:
         """Read the store, then watch it for changes, until cancelled.
@@ -88,7 +108,12 @@
             after = self._registry.revision
             if is_synchronized:
                 wait_s = self._schedule.silence_s - pause_s
-                answer = await self._store.watch(self._registry.revision, wait_s)
+                with self._allow_haste(self._schedule.call_timeout_s) as scope:
+                    answer = await self._store.watch(after, wait_s)
+                if scope.cancelled_caught:
+                    logs.write(logs.Part.CONFIG, "watch replaced", after=after)
+                    pause_s = 0.0
+                    continue
             else:
                 answer = await self._store.read_all()
             if isinstance(answer, result.Err):
@@ -131,12 +156,27 @@
                     paused_s=round(pause_s, 3),
                     took_s=round(trio.current_time() - started_at, 3),
                 )
+            self._evidence.record_answer(
+                trio.current_time(), started_at, changes.may_continue
+            )
             self._retry_delay_s = self._schedule.retry_first_s
             is_synchronized = True
             pause_s = 0.0
             if changes.changes and not changes.may_continue:
                 pause_s = self._choose_pause()
-                await trio.sleep(pause_s)
+                with self._allow_haste(0.0):
+                    await trio.sleep(pause_s)
+
+    @contextlib.contextmanager
+    def _allow_haste(self, after_s: float) -> typing.Iterator[trio.CancelScope]:
+        """Let `hasten` end the block, once it has run for `after_s` seconds."""
+        with trio.CancelScope() as scope:
+            self._wait_scope = scope
+            self._hasten_from = trio.current_time() + after_s
+            try:
+                yield scope
+            finally:
+                self._wait_scope = None
 
     async def _wait_for_retry(self) -> None:
         """Wait before a read is repeated, longer after each failure in a row."""
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -8,6 +8,7 @@
     errors,
     forwarder,
     forwarding,
+    freshness,
     members,
     sending,
 )
@@ -65,9 +66,15 @@
 class ForwarderHarness:
     """Forwarder with a simulated clock, which keeps its open attempts and answers."""
 
-    def __init__(self, replicas=2, budgets=None, deployment_in_force=DEPLOYMENT):
+    def __init__(
+        self,
+        replicas=2,
+        budgets=None,
+        deployment_in_force=DEPLOYMENT,
+        evidence=None,
+    ):
         budgets = budgets or sending.Budgets(0.2, 50.0, 10.0)
-        self.core = forwarder.Forwarder("ba", budgets, 1)
+        self.core = forwarder.Forwarder("ba", budgets, 1, evidence=evidence)
         self.now = 100.0
         self.sends = {}
         self.answers = {}
@@ -276,6 +283,23 @@
     assert answer.kind is errors.ErrorKind.NO_CONFIGURATION
 
 
+def test_path_without_a_route_is_not_unknown_while_a_deployment_is_missing():
+    """Guards against 404 for a route that other entry instances have already."""
+    evidence = freshness.Evidence(freshness.plan_reads(5.0).ok_value)
+    harness = ForwarderHarness(evidence=evidence)
+    evidence.record_answer(harness.now, harness.now, False)
+    kind = harness.answers[harness.submit("/other/")].kind
+    assert kind is errors.ErrorKind.UNKNOWN_PATH
+    own = freshness.Position(DEPLOYMENT.version, 0, 1)
+    newer = freshness.Position(DEPLOYMENT.version + 1, 0, 2)
+    evidence.record_reports(harness.now, own, [newer])
+    answer = harness.answers[harness.submit("/other/")]
+    assert answer.kind is errors.ErrorKind.NOT_CURRENT
+    assert answer.retry_after_s >= forwarder.RETRY_AFTER_S
+    harness.submit("/page/1")
+    assert harness.sends
+
+
 def test_draining_server_gets_no_new_requests():
     """Guards against requests to servers that are about to stop."""
     harness = ForwarderHarness()
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -7,7 +7,7 @@
 import result
 import trio
 
-from acacialatch import forwarder, freshness, registry, sending, store
+from acacialatch import forwarder, freshness, members, registry, sending, store
 
 
 class Reader:
@@ -16,18 +16,29 @@
     def __init__(self, nursery, served, bound_s=5.0, delay_s=0.004):
         self.schedule = freshness.plan_reads(bound_s).ok_value
         self.core = forwarder.Forwarder("a", sending.Budgets(), 1)
+        self.registry = registry.Registry(self.core)
+        self.evidence = freshness.Evidence(self.schedule)
         self.watcher = store.StoreWatcher(
             keyvalue.DirectStore(served, self.schedule.call_timeout_s, delay_s),
-            registry.Registry(self.core),
+            self.registry,
             lambda log_entries: None,
             self.schedule,
             lambda: self.schedule.idle_pause_s,
+            self.evidence,
         )
         nursery.start_soon(self.watcher.run)
 
     def get_version(self):
         return self.core.deployment.version if self.core.deployment else 0
 
+    async def hear_reports(self, position):
+        """Receive the position of another instance as often as by digests."""
+        while True:
+            now = trio.current_time()
+            if self.evidence.record_reports(now, self.registry.position, [position]):
+                self.watcher.hasten()
+            await trio.sleep(members.PERIOD_S)
+
     async def wait_for_version(self, version):
         while self.get_version() < version:
             await trio.sleep(0.005)
@@ -79,7 +90,9 @@
 def test_parts_of_the_longest_read_add_up_to_the_bound(bound_s):
     """Guards against a schedule whose longest case exceeds the bound."""
     schedule = freshness.plan_reads(bound_s).ok_value
-    delays_s = sum(schedule.retry_first_s * 2**n for n in range(1 + freshness.REFUSED_READS))
+    delays_s = sum(
+        schedule.retry_first_s * 2**n for n in range(1 + freshness.REFUSED_READS)
+    )
     read_s = freshness.WHOLE_READ_SHARE * bound_s
     lateness_s = freshness.LATENESS_SHARE * bound_s
     after_loss_s = schedule.call_timeout_s + delays_s + read_s + lateness_s
@@ -94,3 +107,88 @@
 def test_bound_that_reads_cannot_keep_is_refused(bound_s):
     """Guards against a process that starts although it cannot keep a bound."""
     assert isinstance(freshness.plan_reads(bound_s), result.Err)
+
+
+async def test_deployment_that_a_peer_has_is_read_although_the_watch_is_lost(
+    nursery, autojump_clock
+):
+    """Guards against an instance that stays behind while its peers know more."""
+    served, reader = await start_reader(nursery)
+    await trio.sleep(2 * reader.schedule.silence_s)
+    begun = served.watches
+    while served.watches == begun:
+        await trio.sleep(0.005)
+    served.lose_watches()
+    served.refusals = 0
+    served.put("op/config", keyvalue.make_deployment(2))
+    nursery.start_soon(reader.hear_reports, freshness.Position(2, 0, served.revision))
+    with trio.fail_after(reader.schedule.call_timeout_s + members.PERIOD_S):
+        await reader.wait_for_version(2)
+
+
+async def test_server_that_a_peer_lost_is_read_although_the_watch_is_lost(
+    nursery, autojump_clock
+):
+    """Guards against a server that stays in use while peers know that it has left."""
+    served, reader = await start_reader(nursery, 20.0)
+    served.put("servers/i-1", keyvalue.make_server("ledger", "127.0.0.1:1"))
+    await trio.sleep(2 * reader.schedule.silence_s)
+    begun = served.watches
+    while served.watches == begun:
+        await trio.sleep(0.005)
+    served.lose_watches()
+    served.refusals = 0
+    served.remove("servers/i-1")
+    nursery.start_soon(reader.hear_reports, freshness.Position(1, 0, served.revision))
+    schedule = reader.schedule
+    with trio.fail_after(schedule.idle_pause_s + 2 * members.PERIOD_S):
+        while reader.core.backends.find("i-1") is not None:
+            await trio.sleep(0.005)
+
+
+async def test_reported_deployment_that_the_store_lacks_causes_few_reads(
+    nursery, autojump_clock
+):
+    """Guards against a false report after which an instance reads without end."""
+    served, reader = await start_reader(nursery)
+    nursery.start_soon(reader.hear_reports, freshness.Position(9, 0, served.revision))
+    begun = served.watches
+    await trio.sleep(10 * reader.schedule.silence_s)
+    assert served.watches - begun <= 10 + 3
+
+
+async def test_steady_changes_read_in_time_are_not_hastened(nursery, autojump_clock):
+    """Guards against peers that are a little ahead and cause a read each time."""
+    served, reader = await start_reader(nursery)
+    for number in range(200):
+        entry = keyvalue.make_server("ledger", "127.0.0.1:1", sequence=number)
+        served.put("servers/i-1", entry)
+        position = freshness.Position(1, 0, served.revision)
+        now = trio.current_time()
+        assert not reader.evidence.record_reports(
+            now, reader.registry.position, [position]
+        )
+        await trio.sleep(0.1)
+
+
+@pytest.mark.parametrize(
+    ("report", "answered_at", "may_continue", "is_behind"),
+    [
+        (freshness.Position(1, 0, 1), 10.0, False, False),
+        (freshness.Position(1, 0, 9), 10.0, False, False),
+        (freshness.Position(2, 0, 9), 10.0, False, True),
+        (freshness.Position(1, 0, 1), 10.0, True, True),
+        (freshness.Position(1, 0, 1), 4.9, False, True),
+    ],
+    ids=["current", "other change", "newer deployment", "cut answer", "overdue"],
+)
+def test_missing_deployment_is_noticed(report, answered_at, may_continue, is_behind):
+    """Guards against an instance that takes itself for current, or never does."""
+    evidence = freshness.Evidence(freshness.plan_reads(5.0).ok_value)
+    evidence.record_answer(answered_at, answered_at, may_continue)
+    evidence.record_reports(10.0, freshness.Position(1, 0, 1), [report])
+    assert evidence.is_behind(10.0, 1) is is_behind
+    if is_behind:
+        late = 10.0 + freshness.REPORT_LIFETIME_S
+        evidence.record_answer(late, late, False)
+        assert not evidence.is_behind(late, 1)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from acacialatch import members
+from acacialatch import freshness, members
 
 DIGEST_BYTES_MAX = 1_000
 ZONE_DIGEST_BYTES_MAX = 300
@@ -193,3 +193,15 @@
     table.merge_digest(0.0, members.Digest([later], [], False))
     data = msgspec.msgpack.encode(table.make_digest(1.0))
     assert msgspec.msgpack.decode(data, type=members.Digest).members[0].name
+
+
+def test_digests_tell_how_far_the_sender_has_read_the_store():
+    """Guards against positions that are lost, outdated or cannot be encoded."""
+    fleet = Fleet(2)
+    sender, receiver = fleet.tables.values()
+    sender.set_position(freshness.Position(1 << 70, 2, 3))
+    data = msgspec.msgpack.encode(sender.make_digest(0.0, near=False))
+    receiver.merge_digest(0.0, msgspec.msgpack.decode(data, type=members.Digest))
+    expected = freshness.Position(freshness.POSITION_MAX, 2, 3)
+    assert receiver.list_positions(1.0) == [expected]
+    assert receiver.list_positions(freshness.REPORT_LIFETIME_S) == []
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -62,6 +62,7 @@
         lambda log_entries: None,
         SCHEDULE,
         lambda: pause_s,
+        freshness.Evidence(SCHEDULE),
     )
     nursery.start_soon(watcher.run)
     return core
