Keep missing servers only after an outage of the store

Cause: any failed read of one instance began the grace period that is meant for registrations that lapsed in an outage, and each removal that was read in it began the period anew. The class of fault is a local failure taken for one of the whole system.

Change: digests tell for which time the store has answered the sender. Only a time without any known answer in which registrations of live servers can have lapsed, two reports of a server, counts as an outage; the grace period ends 2.5 s after the return of the store for all servers.

--- a/acacialatch/backends.py
+++ b/acacialatch/backends.py
@@ -17,7 +17,7 @@
 """Time in seconds for which a server that shed a request gets no new ones."""
 
 MISSING_GRACE_S = 2.5
-"""Time in seconds for which servers that are missing after a store outage stay in use.
+"""Time in seconds after an outage for which servers that are missing stay in use.
 
 The operators of the store guarantee that live servers register again within about 2 s.
 """
@@ -231,11 +231,11 @@
         if registered is not None:
             registered.expires_at = math.inf
 
-    def schedule_expiry(self, now: float, identity: str) -> None:
-        """Remove a server after `MISSING_GRACE_S` unless it is registered again."""
+    def schedule_expiry(self, identity: str, at: float) -> None:
+        """Remove a server at a time, in seconds, unless it is registered again."""
         registered = self._backends.get(identity)
         if registered is not None:
-            registered.expires_at = min(registered.expires_at, now + MISSING_GRACE_S)
+            registered.expires_at = min(registered.expires_at, at)
 
     def remove_expired(self, now: float) -> list[str]:
         """Remove servers that did not register again; return their identities."""
--- a/acacialatch/entryinstance.py
+++ b/acacialatch/entryinstance.py
@@ -202,7 +202,7 @@
         self._reload = reload
         self._started_at = trio.current_time()
         random_source = random.SystemRandom()
-        self._evidence = freshness.Evidence(settings.reads)
+        self._evidence = freshness.Evidence(settings.reads, settings.lapse_s)
         self._forwarder = forwarder.Forwarder(
             settings.zone,
             settings.budgets,
@@ -211,7 +211,7 @@
             self._evidence,
         )
         self._registry = registry.Registry(
-            self._forwarder, settings.registration_lifetime_s
+            self._forwarder, self._evidence, settings.registration_lifetime_s
         )
         own = members.Member(
             settings.name,
@@ -482,8 +482,8 @@
         """
         now = trio.current_time()
         position = self._registry.position
-        self._members.set_position(position)
-        reports = self._members.list_positions(now)
+        self._members.set_report(now, self._evidence.make_report(now, position))
+        reports = self._members.list_reports(now)
         if self._evidence.record_reports(now, position, reports):
             logs.write(logs.Part.CONFIG, "others know more", **position._asdict())
             self._store_watcher.hasten()
--- a/acacialatch/entrysettings.py
+++ b/acacialatch/entrysettings.py
@@ -39,6 +39,9 @@
     registration_lifetime_s : float
         Time in seconds within which the store drops registrations of servers that
         ended.
+    lapse_s : float
+        Shortest outage of the store in which registrations of live servers can lapse,
+        in seconds.
     """
 
     name: str
@@ -57,3 +60,4 @@
     capacity: float
     stop_s: float
     registration_lifetime_s: float = registry.REGISTRATION_LIFETIME_S
+    lapse_s: float = registry.LAPSE_S
--- a/acacialatch/freshness.py
+++ b/acacialatch/freshness.py
@@ -3,6 +3,7 @@
 import math
 import typing
 
+import msgspec
 import result
 
 BOUND_MIN_S = 0.5
@@ -59,6 +60,33 @@
     revision: int
 
 
+Age = typing.Annotated[float, msgspec.Meta(ge=0)]
+
+
+class Report(typing.NamedTuple):
+    """What an entry instance tells others of its reads of the store.
+
+    Attributes
+    ----------
+    position : Position
+        How far it has read.
+    answered_s : float
+        Time since the last answer of the store, in seconds.
+    reachable_s : float
+        Time since the first answer after the last failed read, in seconds.
+    """
+
+    position: Position
+    answered_s: Age
+    reachable_s: Age
+
+    def add_age(self, age_s: float) -> "Report":
+        """Return the report as of `age_s` seconds later."""
+        return self._replace(
+            answered_s=self.answered_s + age_s, reachable_s=self.reachable_s + age_s
+        )
+
+
 class ReadSchedule(typing.NamedTuple):
     """Times of the reads of the store, in seconds; see `plan_reads`.
 
@@ -130,9 +158,24 @@
     ----------
     schedule : ReadSchedule or None
         Times of the reads; None if nothing is read.
+    lapse_s : float
+        Shortest outage of the store in which registrations of live servers can lapse,
+        in seconds.
+
+    Attributes
+    ----------
+    outage_ended_at : float
+        Time at which the last such outage ended, in seconds. An outage is a time for
+        which no entry instance is known to have had answers of the store.
     """
 
-    def __init__(self, schedule: ReadSchedule | None = None):
+    def __init__(self, schedule: ReadSchedule | None = None, lapse_s: float = math.inf):
+        self._lapse_s = lapse_s
+        self.outage_ended_at = -math.inf
+        # End of the time for which the store is known to have answered.
+        self._known_until: float | None = None
+        self._reachable_since = -math.inf
+        self._is_failing = True
         self._bound_s = schedule.bound_s if schedule else math.inf
         self._retry_s = schedule.call_timeout_s if schedule else math.inf
         self._patience_s = schedule.idle_pause_s if schedule else math.inf
@@ -148,6 +191,32 @@
         self._awaited_since = math.inf
         self._hastened_at = -math.inf
 
+    def record_failure(self) -> None:
+        """Record a read that failed."""
+        self._is_failing = True
+
+    def record_contact(self, now: float, started_at: float) -> None:
+        """Record that the store has answered a read that began at `started_at`."""
+        if self._is_failing:
+            self._is_failing = False
+            self._reachable_since = started_at
+        self._extend_known_time(self._reachable_since, now)
+
+    def _extend_known_time(self, since: float, until: float) -> None:
+        """Add a time for which the store has answered; notice an outage before it."""
+        if self._known_until is None:
+            self._known_until = until
+        if until <= self._known_until:
+            return
+        if since - self._known_until >= self._lapse_s:
+            self.outage_ended_at = since
+        self._known_until = until
+
+    def make_report(self, now: float, position: Position) -> Report:
+        """Return what others are told of the reads of this instance."""
+        since = self._reachable_since
+        return Report(position, now - self._answered_at, now - since)
+
     def record_answer(self, now: float, started_at: float, may_continue: bool) -> None:
         """Record an answer of the store that has been applied.
 
@@ -164,7 +233,7 @@
             self._absent_version = self._newest_version
 
     def record_reports(
-        self, now: float, own: Position, reports: typing.Iterable[Position]
+        self, now: float, own: Position, reports: typing.Iterable[Report]
     ) -> bool:
         """Record how far other entry instances are; return whether to read at once.
 
@@ -178,14 +247,16 @@
             Time in seconds.
         own : Position
             How far this instance has read.
-        reports : iterable of Position
-            The same of others.
+        reports : iterable of Report
+            What others have told, as of now.
         """
         newest = Position(0, 0, 0)
         furthest = (0, 0)
-        for report in reports:
-            newest = max(newest, report)
-            furthest = max(furthest, (report.era, report.revision))
+        for report in sorted(reports, key=lambda one: -one.reachable_s):
+            position = report.position
+            newest = max(newest, position)
+            furthest = max(furthest, (position.era, position.revision))
+            self._extend_known_time(now - report.reachable_s, now - report.answered_s)
         if newest.version > own.version:
             if newest.version != self._newest_version:
                 self._newest_version, self._newest_since = newest.version, now
--- a/acacialatch/members.py
+++ b/acacialatch/members.py
@@ -119,15 +119,15 @@
         Whether the receiver should answer with all members in full.
     limits : tuple of LimitNews
         Rate limits of backend servers.
-    position : freshness.Position or None
-        How far the sender has read the store.
+    report : freshness.Report or None
+        What the sender tells of its reads of the store.
     """
 
     members: list[Member]
     heartbeats: list[tuple[int, Counter]]
     wants_all: bool
     limits: tuple[LimitNews, ...] = ()
-    position: freshness.Position | None = None
+    report: freshness.Report | None = None
 
 
 class Sharing(typing.NamedTuple):
@@ -183,9 +183,9 @@
         self._unconfirmed: set[str] = set()
         self._random = random.Random(seed)
         self._settled_at = math.inf
-        self._position: freshness.Position | None = None
-        # Reports of other instances, each with its time in seconds.
-        self._positions: dict[str, tuple[float, freshness.Position]] = {}
+        # Own report and those of others, each with its time in seconds.
+        self._report: tuple[float, freshness.Report] | None = None
+        self._reports: dict[str, tuple[float, freshness.Report]] = {}
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the gossip addresses from the settings."""
@@ -212,19 +212,20 @@
             self.unsettle(now)
         return changed
 
-    def set_position(self, position: freshness.Position) -> None:
-        """Announce how far this instance has read the store."""
+    def set_report(self, now: float, report: freshness.Report) -> None:
+        """Announce what this instance has read of the store."""
         limit = freshness.POSITION_MAX
-        self._position = freshness.Position(*(min(one, limit) for one in position))
+        position = freshness.Position(*(min(one, limit) for one in report.position))
+        self._report = now, report._replace(position=position)
 
-    def list_positions(self, now: float) -> list[freshness.Position]:
-        """Return how far others had read the store when they sent their last digest.
+    def list_reports(self, now: float) -> list[freshness.Report]:
+        """Return what others told of their reads with their last digests.
 
         Reports older than `freshness.REPORT_LIFETIME_S` are left out.
         """
         return [
-            position
-            for at, position in self._positions.values()
+            report.add_age(now - at)
+            for at, report in self._reports.values()
             if now - at < freshness.REPORT_LIFETIME_S
         ]
 
@@ -266,7 +267,10 @@
                 full.append(member)
             else:
                 heartbeats.append((_make_key(member), member.heartbeat))
-        return Digest(full, heartbeats, wants_all, position=self._position)
+        report = None
+        if self._report is not None:
+            report = self._report[1].add_age(now - self._report[0])
+        return Digest(full, heartbeats, wants_all, report=report)
 
     def merge_digest(self, now: float, digest: Digest) -> bool:
         """Merge a digest; return whether it has heartbeats of unknown members.
@@ -279,8 +283,8 @@
             if not is_sender and not is_known:
                 self._unconfirmed.add(member.name)
             self._merge_member(now, member)
-        if digest.members and digest.position is not None:
-            self._positions[digest.members[0].name] = (now, digest.position)
+        if digest.members and digest.report is not None:
+            self._reports[digest.members[0].name] = (now, digest.report)
         all_known = True
         own_key = _make_key(self.own)
         for key, heartbeat in digest.heartbeats:
@@ -394,4 +398,4 @@
             del self._heard_at[name]
             self._unconfirmed.discard(name)
             del self._changed_at[name]
-            self._positions.pop(name, None)
+            self._reports.pop(name, None)
--- a/acacialatch/registry.py
+++ b/acacialatch/registry.py
@@ -21,6 +21,9 @@
 The operators of the store drop them after three reports that did not come.
 """
 
+LAPSE_S = 5.0
+"""Shortest outage in seconds in which registrations of live servers can lapse."""
+
 REPORT_LIFETIME_S = 300.0
 """Time in seconds for which the last report of a removed server is remembered.
 
@@ -136,6 +139,8 @@
     ----------
     target : forwarder.Forwarder
         Receives deployments and backend servers.
+    evidence : freshness.Evidence
+        Tells when the last outage of the store ended.
     registration_lifetime_s : float
         Time in seconds within which the store drops registrations of servers that
         ended.
@@ -144,9 +149,11 @@
     def __init__(
         self,
         target: forwarder.Forwarder,
+        evidence: freshness.Evidence,
         registration_lifetime_s: float = REGISTRATION_LIFETIME_S,
     ):
         self._target = target
+        self._evidence = evidence
         self._registration_lifetime_s = registration_lifetime_s
         self._identity_by_key: dict[str, str] = {}
         self._excluded_zones: dict[str, str] = {}
@@ -157,7 +164,7 @@
         self._held_registrations: dict[str, tuple[float, BackendPut]] = {}
         # Keys of zones that a restored store lacks, with the time of their end.
         self._missing_zones: dict[str, float] = {}
-        self._grace_until = 0.0
+        self._restored_at = -math.inf
         self._last_contact_at: float | None = None
         self.revision = 0
         self.era: int | None = None
@@ -175,16 +182,19 @@
         version = deployed.version if deployed is not None else 0
         return freshness.Position(version, self.era or 0, self.revision)
 
-    def record_contact(self, now: float, after_outage: bool) -> None:
-        """Record an answer of the store.
+    def record_contact(self, now: float) -> None:
+        """Record an answer of the store."""
+        self._last_contact_at = now
+
+    def _compute_grace_end(self) -> float:
+        """Return until when servers without a registration stay in use, in seconds.
 
-        During an outage the registrations of live servers may expire. So for
-        `backends.MISSING_GRACE_S` after one, a missing registration only starts a
-        grace period, in which the server stays in use.
+        The registrations of live servers may lapse in an outage of the store, and a
+        copy may lack them. They are back within `backends.MISSING_GRACE_S` afterwards.
+        Outside this time, a server without a registration has left.
         """
-        if after_outage:
-            self._grace_until = now + backends.MISSING_GRACE_S
-        self._last_contact_at = now
+        returned_at = max(self._evidence.outage_ended_at, self._restored_at)
+        return returned_at + backends.MISSING_GRACE_S
 
     def is_of_earlier_era(self, changes: Changes) -> bool:
         """Return whether a restore of the store has overtaken an answer."""
@@ -239,7 +249,11 @@
     def handle_timers(self, now: float) -> list[forwarding.LogEntry]:
         """Apply what has been held back, and remove what is still missing."""
         log_entries: list[forwarding.LogEntry] = []
-        for identity in self._target.backends.remove_expired(now):
+        lapsed = self._target.backends.remove_expired(now)
+        for key, identity in list(self._identity_by_key.items()):
+            if identity in lapsed:
+                del self._identity_by_key[key]
+        for identity in lapsed:
             self._mark_removed(now, identity)
             values = {"server": identity}
             log_entries.append(forwarding.LogEntry("server:", "lapsed", values))
@@ -272,7 +286,7 @@
         self._revision_by_key.clear()
         self._held_registrations.clear()
         self.revision = 0
-        self._grace_until = now + backends.MISSING_GRACE_S
+        self._restored_at = now
 
     def _apply(
         self,
@@ -383,7 +397,8 @@
     ) -> None:
         """Remove what is known under a key.
 
-        Soon after an outage, a server that is not draining is kept for a grace period.
+        Soon after an outage, a server that is not draining is kept until the grace
+        period ends.
         """
         self._held_registrations.pop(key, None)
         self._missing_zones.pop(key, None)
@@ -395,16 +410,19 @@
         identity = self._identity_by_key.get(key)
         if identity is None:
             return
+        values: dict[str, typing.Any] = {"server": identity}
         found = self._target.backends.find(identity)
-        if now < self._grace_until and found is not None and not found.entry.draining:
-            self._target.backends.schedule_expiry(now, identity)
+        grace_end = self._compute_grace_end()
+        if now < grace_end and found is not None and not found.entry.draining:
+            self._target.backends.schedule_expiry(identity, grace_end)
             text = "missing after an outage"
+            values["grace_s"] = round(grace_end - now, 3)
         else:
             del self._identity_by_key[key]
             self._target.backends.remove(identity)
             self._mark_removed(now, identity)
             text = "removed"
-        log_entries.append(forwarding.LogEntry("server:", text, {"server": identity}))
+        log_entries.append(forwarding.LogEntry("server:", text, values))
 
     def _exclude_zone(
         self, change: ZoneOut, log_entries: list[forwarding.LogEntry]
--- a/acacialatch/store.py
+++ b/acacialatch/store.py
@@ -122,7 +122,7 @@
                 is_synchronized = False
                 await self._wait_for_retry()
                 continue
-            self._record_success()
+            self._record_success(started_at)
             changes = answer.ok_value
             if isinstance(changes, HistoryLost):
                 logs.write(logs.Part.CONFIG, "history of the store was dropped")
@@ -196,17 +196,24 @@
     def _record_failure(self, failure: errors.SourceFailure) -> None:
         """Count a failed read; log it only if the store was reachable before."""
         self.failures += 1
+        self._evidence.record_failure()
         if self._is_reachable or self.failures == 1:
             values = {"error": failure.kind.value, "detail": failure.detail}
             logs.write(logs.Part.CONFIG, "store is lost", **values)
         self._is_reachable = False
 
-    def _record_success(self) -> None:
+    def _record_success(self, started_at: float) -> None:
         """Record an answer; log it if the store was not reachable before."""
         now = trio.current_time()
+        self._evidence.record_contact(now, started_at)
         if not self._is_reachable:
             last_contact_at = self._registry.last_contact_at
             age_s = None if last_contact_at is None else round(now - last_contact_at, 3)
-            logs.write(logs.Part.CONFIG, "store is reachable", silent_s=age_s)
-        self._registry.record_contact(now, not self._is_reachable)
+            logs.write(
+                logs.Part.CONFIG,
+                "store is reachable",
+                silent_s=age_s,
+                outage=self._evidence.outage_ended_at >= (last_contact_at or now),
+            )
+        self._registry.record_contact(now)
         self._is_reachable = True
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -291,7 +291,8 @@
     kind = harness.answers[harness.submit("/other/")].kind
     assert kind is errors.ErrorKind.UNKNOWN_PATH
     own = freshness.Position(DEPLOYMENT.version, 0, 1)
-    newer = freshness.Position(DEPLOYMENT.version + 1, 0, 2)
+    newer_position = freshness.Position(DEPLOYMENT.version + 1, 0, 2)
+    newer = freshness.Report(newer_position, 0.0, 1.0)
     evidence.record_reports(harness.now, own, [newer])
     answer = harness.answers[harness.submit("/other/")]
     assert answer.kind is errors.ErrorKind.NOT_CURRENT
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -7,7 +7,22 @@
 import result
 import trio
 
-from acacialatch import forwarder, freshness, members, registry, sending, store
+from acacialatch import (
+    backends,
+    forwarder,
+    freshness,
+    members,
+    registry,
+    sending,
+    store,
+)
+
+LAPSE_S = 2.4
+
+
+def make_report(version, revision, answered_s=0.1, reachable_s=60.0):
+    position = freshness.Position(version, 0, revision)
+    return freshness.Report(position, answered_s, reachable_s)
 
 
 class Reader:
@@ -16,8 +31,8 @@
     def __init__(self, nursery, served, bound_s=5.0, delay_s=0.004):
         self.schedule = freshness.plan_reads(bound_s).ok_value
         self.core = forwarder.Forwarder("a", sending.Budgets(), 1)
-        self.registry = registry.Registry(self.core)
-        self.evidence = freshness.Evidence(self.schedule)
+        self.evidence = freshness.Evidence(self.schedule, LAPSE_S)
+        self.registry = registry.Registry(self.core, self.evidence)
         self.watcher = store.StoreWatcher(
             keyvalue.DirectStore(served, self.schedule.call_timeout_s, delay_s),
             self.registry,
@@ -31,11 +46,18 @@
     def get_version(self):
         return self.core.deployment.version if self.core.deployment else 0
 
-    async def hear_reports(self, position):
-        """Receive the position of another instance as often as by digests."""
+    def find_usable(self):
+        """Return the identities of the servers that get requests."""
+        now = trio.current_time()
+        self.registry.handle_timers(now)
+        servers = self.core.backends.list_servers("ledger")
+        return {one.entry.identity for one in servers if one.is_usable(now)}
+
+    async def hear_reports(self, report):
+        """Receive the report of another instance as often as by digests."""
         while True:
             now = trio.current_time()
-            if self.evidence.record_reports(now, self.registry.position, [position]):
+            if self.evidence.record_reports(now, self.registry.position, [report]):
                 self.watcher.hasten()
             await trio.sleep(members.PERIOD_S)
 
@@ -121,7 +143,7 @@
     served.lose_watches()
     served.refusals = 0
     served.put("op/config", keyvalue.make_deployment(2))
-    nursery.start_soon(reader.hear_reports, freshness.Position(2, 0, served.revision))
+    nursery.start_soon(reader.hear_reports, make_report(2, served.revision))
     with trio.fail_after(reader.schedule.call_timeout_s + members.PERIOD_S):
         await reader.wait_for_version(2)
 
@@ -139,7 +161,7 @@
     served.lose_watches()
     served.refusals = 0
     served.remove("servers/i-1")
-    nursery.start_soon(reader.hear_reports, freshness.Position(1, 0, served.revision))
+    nursery.start_soon(reader.hear_reports, make_report(1, served.revision))
     schedule = reader.schedule
     with trio.fail_after(schedule.idle_pause_s + 2 * members.PERIOD_S):
         while reader.core.backends.find("i-1") is not None:
@@ -151,7 +173,7 @@
 ):
     """Guards against a false report after which an instance reads without end."""
     served, reader = await start_reader(nursery)
-    nursery.start_soon(reader.hear_reports, freshness.Position(9, 0, served.revision))
+    nursery.start_soon(reader.hear_reports, make_report(9, served.revision))
     begun = served.watches
     await trio.sleep(10 * reader.schedule.silence_s)
     assert served.watches - begun <= 10 + 3
@@ -163,10 +185,10 @@
     for number in range(200):
         entry = keyvalue.make_server("ledger", "127.0.0.1:1", sequence=number)
         served.put("servers/i-1", entry)
-        position = freshness.Position(1, 0, served.revision)
+        report = make_report(1, served.revision)
         now = trio.current_time()
         assert not reader.evidence.record_reports(
-            now, reader.registry.position, [position]
+            now, reader.registry.position, [report]
         )
         await trio.sleep(0.1)
 
@@ -174,11 +196,11 @@
 @pytest.mark.parametrize(
     ("report", "answered_at", "may_continue", "is_behind"),
     [
-        (freshness.Position(1, 0, 1), 10.0, False, False),
-        (freshness.Position(1, 0, 9), 10.0, False, False),
-        (freshness.Position(2, 0, 9), 10.0, False, True),
-        (freshness.Position(1, 0, 1), 10.0, True, True),
-        (freshness.Position(1, 0, 1), 4.9, False, True),
+        (make_report(1, 1), 10.0, False, False),
+        (make_report(1, 9), 10.0, False, False),
+        (make_report(2, 9), 10.0, False, True),
+        (make_report(1, 1), 10.0, True, True),
+        (make_report(1, 1), 4.9, False, True),
     ],
     ids=["current", "other change", "newer deployment", "cut answer", "overdue"],
 )
@@ -192,3 +214,79 @@
         late = 10.0 + freshness.REPORT_LIFETIME_S
         evidence.record_answer(late, late, False)
         assert not evidence.is_behind(late, 1)
+
+
+async def start_reader_of_two_servers(nursery):
+    """Return a store and an idle reader that uses two servers."""
+    served, reader = await start_reader(nursery, 3.0)
+    for name in ("i-1", "i-2"):
+        served.put(f"servers/{name}", keyvalue.make_server("ledger", "127.0.0.1:1"))
+    await trio.sleep(2 * reader.schedule.silence_s)
+    assert reader.find_usable() == {"i-1", "i-2"}
+    return served, reader
+
+
+@pytest.mark.parametrize("delay_s", [0.01, 0.5, 1.2, 2.0])
+async def test_server_that_leaves_after_a_cut_watch_is_not_kept_for_an_outage(
+    nursery, autojump_clock, delay_s
+):
+    """Guards against the grace period of an outage after any failed read."""
+    served, reader = await start_reader_of_two_servers(nursery)
+    served.cut_watches()
+    await trio.sleep(delay_s)
+    served.remove("servers/i-1")
+    await trio.sleep(reader.schedule.bound_s)
+    assert reader.find_usable() == {"i-2"}
+
+
+async def test_server_that_leaves_while_the_store_refuses_one_instance_is_not_kept(
+    nursery, autojump_clock
+):
+    """Guards against an outage assumed although peers had answers of the store."""
+    served, reader = await start_reader_of_two_servers(nursery)
+    nursery.start_soon(reader.hear_reports, make_report(1, 1))
+    served.refusals = 10_000
+    served.cut_watches()
+    await trio.sleep(6.0)
+    served.remove("servers/i-1")
+    served.refusals = 0
+    await trio.sleep(reader.schedule.retry_max_s + 0.1)
+    assert reader.find_usable() == {"i-2"}
+
+
+@pytest.mark.parametrize("returns", [True, False])
+async def test_server_whose_registration_lapsed_in_an_outage_is_kept(
+    nursery, autojump_clock, returns
+):
+    """Guards against losing live servers after an outage, and keeping gone ones."""
+    served, reader = await start_reader_of_two_servers(nursery)
+    served.refusals = 10_000
+    served.cut_watches()
+    await trio.sleep(6.0)
+    served.remove("servers/i-1")
+    served.refusals = 0
+    nursery.start_soon(reader.hear_reports, make_report(1, 1, 0.0, 0.0))
+    await trio.sleep(reader.schedule.retry_max_s + 0.1)
+    assert reader.find_usable() == {"i-1", "i-2"}
+    if returns:
+        entry = keyvalue.make_server("ledger", "127.0.0.1:1", sequence=9)
+        served.put("servers/i-1", entry)
+    await trio.sleep(backends.MISSING_GRACE_S)
+    assert reader.find_usable() == ({"i-1", "i-2"} if returns else {"i-2"})
+
+
+async def test_grace_after_an_outage_ends_at_one_time_for_all_servers(
+    nursery, autojump_clock
+):
+    """Guards against a grace period that begins again when a removal is read."""
+    served, reader = await start_reader_of_two_servers(nursery)
+    served.refusals = 10_000
+    served.cut_watches()
+    await trio.sleep(6.0)
+    served.refusals = 0
+    await trio.sleep(reader.schedule.retry_max_s)
+    returned_at = reader.evidence.outage_ended_at
+    await trio.sleep_until(returned_at + backends.MISSING_GRACE_S - 0.5)
+    served.remove("servers/i-1")
+    await trio.sleep_until(returned_at + backends.MISSING_GRACE_S + 0.1)
+    assert reader.find_usable() == {"i-2"}
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -1,5 +1,6 @@
 """Tests of the membership gossip between entry instances."""
 
+import math
 import random
 
 import msgspec
@@ -199,9 +200,20 @@
     """Guards against positions that are lost, outdated or cannot be encoded."""
     fleet = Fleet(2)
     sender, receiver = fleet.tables.values()
-    sender.set_position(freshness.Position(1 << 70, 2, 3))
+    position = freshness.Position(1 << 70, 2, 3)
+    sender.set_report(-1.0, freshness.Report(position, 0.5, 7.0))
     data = msgspec.msgpack.encode(sender.make_digest(0.0, near=False))
     receiver.merge_digest(0.0, msgspec.msgpack.decode(data, type=members.Digest))
     expected = freshness.Position(freshness.POSITION_MAX, 2, 3)
-    assert receiver.list_positions(1.0) == [expected]
-    assert receiver.list_positions(freshness.REPORT_LIFETIME_S) == []
+    assert receiver.list_reports(1.0) == [freshness.Report(expected, 2.5, 9.0)]
+    assert receiver.list_reports(freshness.REPORT_LIFETIME_S) == []
+
+
+@pytest.mark.parametrize("age_s", [-1.0, math.nan])
+def test_report_with_an_impossible_age_is_refused(age_s):
+    """Guards against an instance that no longer notices outages of the store."""
+    report = freshness.Report(freshness.Position(1, 0, 1), age_s, 1.0)
+    digest = members.Digest([], [], False, report=report)
+    data = msgspec.msgpack.encode(digest)
+    with pytest.raises(msgspec.ValidationError):
+        msgspec.msgpack.decode(data, type=members.Digest)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -7,7 +7,14 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from acacialatch import backends, deployment, forwarder, registry, sending
+from acacialatch import (
+    backends,
+    deployment,
+    forwarder,
+    freshness,
+    registry,
+    sending,
+)
 
 SERVERS = ("s-0", "s-1", "s-2")
 ZONES = ("ba", "nadi")
@@ -63,7 +70,8 @@
         self.version = 0
         self.starts = 0
         self.core = forwarder.Forwarder("ba", sending.Budgets(), 1)
-        self.registry = registry.Registry(self.core)
+        self.evidence = freshness.Evidence()
+        self.registry = registry.Registry(self.core, self.evidence)
         self.is_synchronized = False
         self.highest_version = 0
         self.restored_at = math.inf
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -56,13 +56,14 @@
 
 def start_watcher(nursery, scripted, pause_s=0.45):
     core = forwarder.Forwarder("ba", sending.Budgets(), 1)
+    evidence = freshness.Evidence(SCHEDULE)
     watcher = store.StoreWatcher(
         scripted,
-        registry.Registry(core),
+        registry.Registry(core, evidence),
         lambda log_entries: None,
         SCHEDULE,
         lambda: pause_s,
-        freshness.Evidence(SCHEDULE),
+        evidence,
     )
     nursery.start_soon(watcher.run)
     return core
@@ -120,12 +121,21 @@
     assert core.deployment.version == 9
 
 
-def test_missing_registration_is_kept_for_a_grace_period_after_an_outage():
-    """Guards against losing live servers whose registrations expired in an outage."""
+def make_registry_after_an_outage():
+    """Return a forwarder and a registry with a server, 10 s after the last answer."""
     core = forwarder.Forwarder("ba", sending.Budgets(), 1)
-    target = registry.Registry(core)
+    evidence = freshness.Evidence(SCHEDULE, lapse_s=2.4)
+    target = registry.Registry(core, evidence)
+    evidence.record_contact(1.0, 1.0)
     target.apply_snapshot(1.0, registry.Changes(2, (make_backend("a", 2),)))
-    target.record_contact(10.0, True)
+    evidence.record_failure()
+    evidence.record_contact(10.0, 10.0)
+    return core, target
+
+
+def test_missing_registration_is_kept_for_a_grace_period_after_an_outage():
+    """Guards against losing live servers whose registrations expired in an outage."""
+    core, target = make_registry_after_an_outage()
     target.apply_snapshot(10.0, registry.Changes(5, ()))
     assert core.backends.find("a").is_usable(11.0)
     target.handle_timers(10.0 + backends.MISSING_GRACE_S)
@@ -134,10 +144,7 @@
 
 def test_registration_that_returns_after_an_outage_counts_again():
     """Guards against removing a server that registered again in the grace period."""
-    core = forwarder.Forwarder("ba", sending.Budgets(), 1)
-    target = registry.Registry(core)
-    target.apply_snapshot(1.0, registry.Changes(2, (make_backend("a", 2),)))
-    target.record_contact(10.0, True)
+    core, target = make_registry_after_an_outage()
     target.apply_snapshot(10.0, registry.Changes(5, ()))
     target.apply_changes(11.0, registry.Changes(6, (make_backend("a", 6),)))
     target.handle_timers(20.0)
@@ -147,8 +154,8 @@
 def test_removed_server_gets_no_work_at_once():
     """Guards against a grace period for removals without an outage."""
     core = forwarder.Forwarder("ba", sending.Budgets(), 1)
-    target = registry.Registry(core)
-    target.record_contact(1.0, False)
+    target = registry.Registry(core, freshness.Evidence())
+    target.record_contact(1.0)
     target.apply_snapshot(1.0, registry.Changes(2, (make_backend("a", 2),)))
     target.apply_changes(9.0, registry.Changes(3, (registry.Removed("a", 3),)))
     assert core.backends.find("a") is None
@@ -157,7 +164,7 @@
 def test_zone_out_of_service_gets_no_work_until_it_is_back():
     """Guards against work for a zone that is out of service, or none afterwards."""
     core = forwarder.Forwarder("ba", sending.Budgets(), 1)
-    target = registry.Registry(core)
+    target = registry.Registry(core, freshness.Evidence())
     out = registry.ZoneOut("out/ba", 3, "ba")
     target.apply_snapshot(1.0, registry.Changes(3, (make_backend("a", 2), out)))
     assert not core.backends.list_servers("ledger")
@@ -250,7 +257,7 @@
 
     def __init__(self, copy, lost):
         self.core = forwarder.Forwarder("ba", sending.Budgets(), 1)
-        self.registry = registry.Registry(self.core)
+        self.registry = registry.Registry(self.core, freshness.Evidence())
         self.copy = copy
         self.registry.apply_snapshot(1.0, registry.Changes(10, copy, 1))
         self.registry.apply_changes(10.0, registry.Changes(40, lost, 1))
