--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -10,6 +10,7 @@
 from adapter import bootfile, callers, kvstore, servers
 
 from acacialatch import (
+    backendclient,
     backends,
     deployment,
     entryinstance,
@@ -132,6 +133,22 @@
     assert settings.reads.idle_pause_s == pytest.approx(1.35)
 
 
+@pytest.mark.parametrize(
+    ("drain_ms", "evacuation_ms", "bound_s"),
+    [(3000, 5000, 2.6), (5000, 3000, 2.6), (9000, 9000, 3.0)],
+)
+def test_reads_leave_time_for_the_last_request_to_a_leaving_server(
+    drain_ms, evacuation_ms, bound_s
+):
+    """Guards against a bound that the reads use up before a connection is open."""
+    bounds = f"[bounds]\ndrain_ms = {drain_ms}\nevacuation_ms = {evacuation_ms}"
+    text = SETTINGS_TEXT.replace("[bounds]", bounds)
+    settings = bootfile.decode(text).ok_value
+    assert settings.reads.bound_s == pytest.approx(bound_s)
+    last_send_s = settings.reads.bound_s + backendclient.CONNECT_TIMEOUT_S
+    assert last_send_s < min(drain_ms, evacuation_ms) / 1000
+
+
 @pytest.mark.parametrize(
     ("old", "new", "expected_text"),
     [
