Refuse requests that cannot end before a planned stop

It happened here too: a request whose last byte arrived within the last 0.1 s was passed on and its connection ended without an answer; one that arrived shortly before was passed on and answered 504, so that its outcome was unknown.

Cause: the stop was handled once, for what was open at that moment; requests were taken as if the process went on. The class of fault is work accepted without regard to the time that is left for it.

Change: from the stop signal on, a request is taken only if the time left is enough: the latency objective for one that must not be repeated, the usual latency for others. Else it is refused as not run, with a short Retry-After, since other instances take it. Deadlines end with the process. After the last answers, the process ends when the connections have closed, and goes on to refuse what is read until then.

Callers that send on kept connections until the process is gone get an answer to each request with servers that take 0.05, 0.6 and 2.5 s; they did before.

--- a/acacialatch/entryinstance.py
+++ b/acacialatch/entryinstance.py
@@ -40,8 +40,8 @@
 CLOSE_POLL_PERIOD_S = 0.02
 """Time between checks whether the last connection has closed, in seconds."""
 
-FLUSH_DELAY_S = 0.1
-"""Time for sending the last answers before the process ends, in seconds."""
+FLUSH_TIMEOUT_S = 0.4
+"""Longest time for sending the last answers before the process ends, in seconds."""
 
 RELOAD_PERIOD_S = 1.0
 """Time between checks of the settings file for changes, in seconds."""
@@ -622,10 +622,12 @@
         New requests are served for `LEAVE_DELAY_S`; then callers' connections are
         closed as they become idle, and batches of peers are finished. What is in
         progress when the stop time of the settings has passed is answered at once.
+        What is read afterwards is refused until the last connection has closed.
         """
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
             await received.__anext__()
             self._stopping = True
+            self._forwarder.announce_stop(trio.current_time() + self._settings.stop_s)
             logs.write(
                 logs.Part.PROCESS, "stop signal", open=self._forwarder.open_count
             )
@@ -640,4 +642,6 @@
                     await trio.sleep(CLOSE_POLL_PERIOD_S)
                 return
             self._carry_out(self._forwarder.stop(trio.current_time()))
-            await trio.sleep(FLUSH_DELAY_S)
+            with trio.move_on_after(FLUSH_TIMEOUT_S):
+                while self._caller_server.connections:
+                    await trio.sleep(CLOSE_POLL_PERIOD_S)
--- a/acacialatch/forwarder.py
+++ b/acacialatch/forwarder.py
@@ -28,6 +28,10 @@
 A random delay of up to the same length is added, to spread the retries.
 """
 
+STOP_RETRY_AFTER_S = 0.05
+"""Delay in seconds after which other entry instances take what a stopping one refuses.
+"""
+
 DEADLINE_MARGIN_S = 0.005
 """Time in seconds before the caller's timeout at which its request ends here."""
 
@@ -89,6 +93,7 @@
         self._route_table = deployment.RouteTable(())
         self._exchanges: dict[int, exchanges.Exchange] = {}
         self._timers: list[tuple[float, int]] = []
+        self._stops_at = math.inf
 
     # Deployment, peers and limits.
 
@@ -134,13 +139,17 @@
         batches to entry instances in the zones of their servers, unless a batch would
         be too small. All other calls go directly to the servers. The request is refused
         without an attempt if it has no route, if its deadline has passed or if too few
-        shards have a server. A path without a route is unknown only if the deployment
-        is the newest one; otherwise the caller may retry.
+        shards have a server. While the process stops, it is also refused if the time
+        left is too short for it. A path without a route is unknown only if the
+        deployment is the newest one; otherwise the caller may retry.
         """
         number = self._sender.take_number()
         route = self._find_route(now, request)
         if isinstance(route, errors.ErrorKind):
             return number, self._refuse_new(number, request, route)
+        if now + self._expect_duration(route) > self._stops_at:
+            refused = errors.ErrorKind.SHUTTING_DOWN
+            return number, self._refuse_new(number, request, refused)
         assert self.deployment is not None
         timeout_s = route.timeout_s
         if request.timeout_s is not None:
@@ -151,7 +160,7 @@
             route,
             self.deployment.version,
             now,
-            now + timeout_s,
+            min(now + timeout_s, self._stops_at),
             [
                 exchanges.ServiceCall(name)
                 for name in deployment.choose_services(route.target, self._random)
@@ -187,6 +196,9 @@
         route = self._find_route(now, batch.request)
         if isinstance(route, errors.ErrorKind):
             return number, self._refuse_new(number, batch.request, route)
+        if now + batch.wait_s > self._stops_at:
+            refused = errors.ErrorKind.SHUTTING_DOWN
+            return number, self._refuse_new(number, batch.request, refused)
         assert self.deployment is not None
         target = deployment.ShardTarget(batch.services, batch.records_max, 0.0)
         exchange = exchanges.Exchange(
@@ -195,7 +207,7 @@
             route._replace(attempts_max=1, target=target),
             self.deployment.version,
             now,
-            now + batch.timeout_s,
+            min(now + batch.timeout_s, self._stops_at),
             [exchanges.ServiceCall(name) for name in batch.services],
             batch_due_at=now + batch.wait_s,
         )
@@ -445,8 +457,26 @@
         exchange_at = self._timers[0][0] if self._timers else math.inf
         return min(exchange_at, self._sender.next_time())
 
+    def _expect_duration(self, route: deployment.Route) -> float:
+        """Return the time in seconds that a request needs before the process stops.
+
+        A request that must not be repeated needs its whole latency objective, since
+        its outcome would otherwise be unknown.
+        """
+        if route.kind is deployment.RequestKind.NON_IDEMPOTENT:
+            return min(route.objective_s, route.timeout_s)
+        return self._sender.compute_hedge_delay(route)
+
+    def announce_stop(self, at: float) -> None:
+        """Take only requests that are expected to end before the process stops.
+
+        `at` is the time in seconds at which `stop` is going to be called.
+        """
+        self._stops_at = at
+
     def stop(self, now: float) -> list[forwarding.Action]:
-        """Refuse all requests in progress, since the process ends."""
+        """Refuse all requests, also later ones, since the process ends."""
+        self._stops_at = -math.inf
         actions: list[forwarding.Action] = []
         for exchange in list(self._exchanges.values()):
             self._refuse(now, exchange, errors.ErrorKind.SHUTTING_DOWN, actions)
@@ -620,6 +650,8 @@
         self.counts[kind.value] += 1
         retryable = errors.ANSWERS[kind].retryable
         retry_after_s = self._choose_retry_after(wait_s) if retryable else 0.0
+        if kind is errors.ErrorKind.SHUTTING_DOWN:
+            retry_after_s = STOP_RETRY_AFTER_S
         version = self.deployment.version if self.deployment else 0
         return [
             forwarding.Respond(number, forwarding.ErrorReply(kind, retry_after_s)),
--- a/tests/test_entryinstance.py
+++ b/tests/test_entryinstance.py
@@ -98,3 +98,80 @@
             answer = await instance.request(path, method="POST")
             assert answer.status in (502, 503, 504), (cut, path, answer)
     assert await near.count("batches") > CUTS // 2
+
+
+async def send_late_requests(instance, answers, work_s, until_s):
+    """Send requests on kept connections until the process is gone.
+
+    A connection that ended without an answer is replaced by a new one.
+    """
+    began = trio.current_time()
+    stream = None
+    while trio.current_time() - began < until_s and not instance.ended.is_set():
+        sent_at = trio.current_time() - began
+        try:
+            if stream is None:
+                stream = await instance.connect()
+            answer = await entry.exchange(stream, "/order/", "POST", 30_000)
+        except OSError:
+            return
+        answers.append((round(sent_at, 2), work_s, answer.status))
+        if answer.status == 0 or answer.headers.get("connection") == "close":
+            await stream.aclose()
+            stream = None
+
+
+@pytest.mark.parametrize("work_s", [0.05, 0.6, 2.5])
+async def test_request_read_late_in_a_planned_stop_is_answered(nursery, work_s):
+    """Guards against requests that are passed on and cut when the process ends."""
+    served = keyvalue.KeyValueStore()
+    store = await nursery.start(keyvalue.serve, served)
+    received = []
+    backend = entry.Backend(entry.make_slow_script(work_s))
+    backend.received = received
+    await nursery.start(backend.serve)
+    route = keyvalue.make_route("order", "single", "non_idempotent", 20_000)
+    entry.publish(served, [route], [("single", backend, "a")])
+    instance = entry.Entry(store)
+    nursery.start_soon(instance.run)
+    await instance.wait_until_ready()
+    answers: list[tuple[float, float, int]] = []
+    async with trio.open_nursery() as callers:
+        for _ in range(4):
+            callers.start_soon(send_late_requests, instance, answers, work_s, 12.0)
+        await trio.sleep(0.5)
+        begun = len(received)
+        entry.send_stop_signal()
+    with trio.fail_after(instance.settings.stop_s):
+        await instance.ended.wait()
+    ended = sum(status == 200 for _, _, status in answers)
+    assert {status for _, _, status in answers} <= {200, 503}, answers
+    assert ended == len(received) > begun
+
+
+@pytest.mark.parametrize("left_s", [0.15, -0.05], ids=["before", "after"])
+async def test_request_completed_at_the_end_of_a_planned_stop_is_refused(
+    nursery, left_s
+):
+    """Guards against a non-repeatable request that is passed on without time left."""
+    served = keyvalue.KeyValueStore()
+    store = await nursery.start(keyvalue.serve, served)
+    backend = entry.Backend(entry.make_slow_script(2.0))
+    await nursery.start(backend.serve)
+    route = keyvalue.make_route("order", "single", "non_idempotent", 20_000)
+    entry.publish(served, [route], [("single", backend, "a")])
+    instance = entry.Entry(store, grace_s=3.7)
+    nursery.start_soon(instance.run)
+    await instance.wait_until_ready()
+    async with await instance.connect() as stream:
+        head = "POST /order/ HTTP/1.1\r\nhost: a.example\r\nx-request-id: r\r\n"
+        await stream.send_all(f"{head}content-length: 4\r\n\r\nbod".encode())
+        await trio.sleep(0.1)
+        entry.send_stop_signal()
+        await trio.sleep(instance.settings.stop_s - left_s)
+        await stream.send_all(b"y")
+        with trio.fail_after(2.0):
+            answer = await stream.receive_some(65536)
+    assert answer.startswith(b"HTTP/1.1 503"), answer
+    assert b"retry-after" in answer.lower()
+    assert backend.received == []
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -283,6 +283,33 @@
     assert answer.kind is errors.ErrorKind.NO_CONFIGURATION
 
 
+@pytest.mark.parametrize(
+    ("path", "left_s", "is_taken"),
+    [
+        ("/booking/1", 1.0, True),
+        ("/booking/1", 0.1, False),
+        ("/page/1", 0.15, True),
+        ("/page/1", 0.01, False),
+        ("/page/1", -1.0, False),
+    ],
+)
+def test_request_that_cannot_end_before_a_stop_is_refused(path, left_s, is_taken):
+    """Guards against requests that are passed on and cut when the process ends."""
+    harness = ForwarderHarness()
+    harness.core.announce_stop(harness.now + left_s)
+    number = harness.submit(path)
+    assert bool(harness.sends) is is_taken
+    if is_taken:
+        assert all(send.timeout_s < left_s + 0.001 for send in harness.sends.values())
+        harness.advance_to(harness.now + left_s)
+    else:
+        kind = harness.answers[number].kind
+        assert kind is errors.ErrorKind.SHUTTING_DOWN
+        assert errors.ANSWERS[kind].run_state is errors.RunState.NOT_RUN
+        assert harness.answers[number].retry_after_s > 0
+    assert number in harness.answers
+
+
 def test_path_without_a_route_is_not_unknown_while_a_deployment_is_missing():
     """Guards against 404 for a route that other entry instances have already."""
     evidence = freshness.Evidence(freshness.plan_reads(5.0).ok_value)
