--- a/tests/entry.py
+++ b/tests/entry.py
@@ -76,12 +76,14 @@
         Its IP address.
     ended : trio.Event
         Set when the process would have ended.
+    text : str
+        Its settings file.
     """
 
     def __init__(self, store: str, zone: str = "a", seeds=(), grace_s: float = 6.0):
         self.ip = choose_address()
         self.ended = trio.Event()
-        text = SETTINGS_TEMPLATE.format(
+        self.text = SETTINGS_TEMPLATE.format(
             name=f"entry-{self.ip}",
             zone=zone,
             ip=self.ip,
@@ -89,7 +91,7 @@
             store=store,
             grace_s=grace_s,
         )
-        decoded = bootfile.decode(text)
+        decoded = bootfile.decode(self.text)
         assert isinstance(decoded, result.Ok), decoded
         self.settings: entrysettings.EntrySettings = decoded.ok_value
 
@@ -142,6 +144,7 @@
     path: str,
     method: str = "GET",
     deadline_ms: int = 2000,
+    identity: str = "",
 ) -> Answer:
     """Send a request on a connection; return the answer, or `CUT` without a whole one.
 
@@ -153,7 +156,7 @@
     connection = h11.Connection(h11.CLIENT)
     headers = [
         ("host", HOST),
-        ("x-request-id", f"r-{next(_serials)}"),
+        ("x-request-id", identity or f"r-{next(_serials)}"),
         ("x-deadline-ms", str(deadline_ms)),
         ("content-length", "0"),
     ]
