--- a/acacialatch/freshness.py
+++ b/acacialatch/freshness.py
@@ -14,7 +14,10 @@
 """
 
 CALL_TIMEOUT_SHARE = 0.16
-"""Timeout of a call to the store, beyond the wait that the call asks for."""
+"""Timeout of a call to the store, beyond the wait that the call asks for.
+
+This and what follows are shares of the time within which a change is in force.
+"""
 
 RETRY_FIRST_SHARE = 0.02
 RETRY_MAX_SHARE = 0.2
@@ -33,7 +36,6 @@
 IDLE_PAUSE_SHARE = 0.45
 """Pause after a change, so that a series takes few reads, and the same while idle."""
 
-
 REPORT_LIFETIME_S = 3.0
 """Time in seconds for which the report of another entry instance counts.
 
--- a/acacialatch/store.py
+++ b/acacialatch/store.py
@@ -115,6 +115,7 @@
                     pause_s = 0.0
                     continue
             else:
+                pause_s = 0.0
                 answer = await self._store.read_all()
             if isinstance(answer, result.Err):
                 self._record_failure(answer.err_value)
