Show that replies without end keep requests waiting beyond their timeout

Rule: CONFIG. Of the requests that are unanswered at their route's timeout, more than half have no answer half a second later.

Order of events: for 9 s, 0.6 of the replicas answer 0.6 of the requests with a chunked body without end, in chunks of one byte, until the connection closes. Four entry instances with 6.5 queries a second each parse them on their only event loop; other replies, timers and new requests wait.

--- a/review/playground.py
+++ b/review/playground.py
@@ -25,6 +25,7 @@
 HEARTBEAT_S = 1.2
 FRONT_PORT, READY_PORT, DIRECTORY_PORT = 8104, 8108, 8100
 PART_ITEMS_MAX = 500
+ENDLESS_PIECE = b"1\r\na\r\n" * 10_000
 START_TIMEOUT_S = 20.0
 CONNECT_TIMEOUT_S = 1.0
 
@@ -251,6 +252,12 @@
         point where the next response on the connection is expected.
     extras : int
         Answers that were sent once more.
+    endless_share : float
+        Share of the answers that are bytes without end, until the caller closes.
+    endless : int
+        Such answers so far.
+    body : bytes
+        Body of its other answers.
 
     Parameters
     ----------
@@ -281,6 +288,9 @@
         self.runs: list[tuple[float, str]] = []
         self.extra_share = 0.0
         self.extras = 0
+        self.endless_share = 0.0
+        self.endless = 0
+        self.body = b"done"
         self.answers = 0
         self._store = store
         self._record = record
@@ -338,7 +348,7 @@
                     extra = b""
                     # The answer to this request follows in a packet of its own.
                     await writer.drain()
-                answer, ahead = await self._answer(request, identity, reader)
+                answer, ahead = await self._answer(request, identity, reader, writer)
                 if answer is None:
                     break
                 self.answers += 1
@@ -349,10 +359,19 @@
                     self.extras += 1
 
     async def _answer(
-        self, request: Message, identity: str, reader: asyncio.StreamReader
+        self,
+        request: Message,
+        identity: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> tuple[bytes | None, bytes]:
         """Return the answer and what was read ahead; no answer if the caller left."""
         fields = {"X-Request-Id": identity}
+        if random.random() < self.endless_share:
+            self.endless += 1
+            self._record.write(f"{self.identity} answers {identity} without end")
+            await self._send_without_end(writer, fields)
+            return None, b""
         if request.fields.get("x-expect-instance") != self.identity:
             return make_answer(421, {**fields, "X-Instance-Id": self.identity}), b""
         if self._present >= self._slots + self._queue:
@@ -375,7 +394,19 @@
         with contextlib.suppress(asyncio.CancelledError):
             ahead = await watch
         stamp = f"{self.identity}.{identity}"
-        return make_answer(200, {**fields, "X-Server-Stamp": stamp}, b"done"), ahead
+        return make_answer(200, {**fields, "X-Server-Stamp": stamp}, self.body), ahead
+
+    async def _send_without_end(
+        self, writer: asyncio.StreamWriter, fields: dict[str, str]
+    ) -> None:
+        """Send a body that doesn't end, until the caller closes the connection."""
+        lines = ["HTTP/1.1 200 Answer", "Transfer-Encoding: chunked"]
+        lines += [f"{name}: {value}" for name, value in fields.items()]
+        writer.write("\r\n".join([*lines, "X-Server-Stamp: s", "", ""]).encode())
+        while not writer.is_closing():
+            writer.write(ENDLESS_PIECE)
+            await writer.drain()
+            await asyncio.sleep(0)
 
     async def _work(self, identity: str) -> None:
         async with self._free:
