--- a/review/playground.py
+++ b/review/playground.py
@@ -422,6 +422,8 @@
     ----------
     ip : str
         Its loopback address.
+    starts : list of float
+        Time of each start of its process.
     ends : list of (float, int)
         Time and status of each end of its process that nobody asked for.
 
@@ -449,6 +451,7 @@
     ):
         self.ip = ip
         self.name = name
+        self.starts: list[float] = []
         self.ends: list[tuple[float, int]] = []
         self.log_path = folder / f"{name}.log"
         self._record = record
@@ -479,6 +482,7 @@
     async def run(self) -> None:
         """Run the process, and start it again 0.5 s after it has ended."""
         while not self._stopped:
+            self.starts.append(self._record.now())
             self._process = self._launch()
             self._record.write(f"{self.name} starts")
             while self._process.poll() is None:
