Refuse any input that cannot be decoded, and keep all tasks running

Cause: msgspec raises RecursionError for deep nesting, which the except clauses of the decoder of items did not name, and the read of the store was not guarded, so that the exception ended the nursery of the process. Each place where input is decoded had its own list of exceptions; five others lacked the same one. Ruled out: the reason in the log, and a page that cannot be read.

Change: decoding.decode takes any exception of a decoder as a refusal of this input, and is used for items and pages of the store, digests, batches, bodies, lists and messages of peers. defects.DefectLog keeps the tasks of a process running, counts what they survive by task and logs it with its traceback, so that a defect is not taken for odd input. A read that raises has only failed.

--- a/acacialatch/backendclient.py
+++ b/acacialatch/backendclient.py
@@ -413,17 +413,21 @@
         self, connection: _Connection, send: forwarding.Outgoing
     ) -> None:
         """Write the rest of a request that exceeded the send buffer."""
-        with contextlib.suppress(trio.ClosedResourceError):
+        try:
             while connection.unsent and connection.send is send:
                 await trio.lowlevel.wait_writable(connection.socket)
                 if connection.send is not send:
                     return
-                try:
-                    self._write(connection)
-                except OSError as error:
-                    self._report_failure(
-                        connection, forwarding.FailureKind.CONNECTION_LOST, repr(error)
-                    )
+                self._write(connection)
+        except trio.ClosedResourceError:
+            # The connection was closed while this task waited for its socket.
+            pass
+        except Exception as error:
+            if not isinstance(error, OSError):
+                self._on_error(error)
+            self._report_failure(
+                connection, forwarding.FailureKind.CONNECTION_LOST, repr(error)
+            )
 
     def _handle_readable(self, connection: _Connection) -> None:
         """Read what has arrived, and report the reply or failure once it is known."""
--- a/acacialatch/batchlink.py
+++ b/acacialatch/batchlink.py
@@ -1,8 +1,9 @@
 """Protocol of batches between entry instances: HTTP with msgpack bodies."""
 
 import msgspec
+import result
 
-from acacialatch import backendclient, errors, forwarding, httpserver
+from acacialatch import backendclient, decoding, errors, forwarding, httpserver
 
 BATCH_PATH = "/batch"
 CONTINUATION_PATH = "/batch/rest"
@@ -46,13 +47,12 @@
             return forwarding.SendFailure(
                 forwarding.FailureKind.CONNECTION_LOST, str(status)
             )
-        try:
-            reply = _REPLY_DECODER.decode(body)
-        except msgspec.DecodeError as error:
-            detail = str(error)
+        decoded = decoding.decode(_REPLY_DECODER.decode, body)
+        if isinstance(decoded, result.Err):
             return forwarding.SendFailure(
-                forwarding.FailureKind.MALFORMED_REPLY, detail
+                forwarding.FailureKind.MALFORMED_REPLY, decoded.err_value
             )
+        reply = decoded.ok_value
         indexes = [index for index, _ in reply.arrived]
         indexes += [shard.index for shard in reply.open]
         if not _are_distinct_indexes(indexes, send.shards):
@@ -76,10 +76,7 @@
     decoder = _REQUEST_DECODERS.get(message.path)
     if decoder is None or message.method != "POST":
         return None
-    try:
-        return decoder.decode(message.body)
-    except msgspec.DecodeError:
-        return None
+    return decoding.decode(decoder.decode, message.body).unwrap_or(None)
 
 
 def encode_answer(answer: forwarding.Answer) -> httpserver.Response:
--- a/acacialatch/bodies.py
+++ b/acacialatch/bodies.py
@@ -5,7 +5,7 @@
 import msgspec
 import result
 
-from acacialatch import errors, model
+from acacialatch import decoding, errors, model
 
 DEADLINE_MIN_S = 0.001
 """Smallest deadline that a caller may set, in seconds."""
@@ -121,15 +121,16 @@
     Result
         The decoded object, or a description of the first problem.
     """
-    try:
-        decoded = msgspec.json.decode(body, type=body_type)
-        names = set(msgspec.json.decode(body))
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        return result.Err(str(error))
-    unknown = sorted(names - set(body_type.__annotations__))
+    decoded = decoding.decode(msgspec.json.decode, body, type=body_type)
+    names = decoding.decode(msgspec.json.decode, body, type=dict)
+    if isinstance(decoded, result.Err):
+        return decoded
+    if isinstance(names, result.Err):
+        return names
+    unknown = sorted(set(names.ok_value) - set(body_type.__annotations__))
     if unknown and not allow_unknown:
         return result.Err(f"unknown field {unknown[0]!r}")
-    return result.Ok(decoded)
+    return decoded
 
 
 def encode(value: typing.Any) -> bytes:
--- a/acacialatch/control.py
+++ b/acacialatch/control.py
@@ -8,9 +8,11 @@
 import random
 
 import msgspec
+import result
 
 from acacialatch import (
     changes,
+    decoding,
     dispatch,
     events,
     facts,
@@ -390,10 +392,12 @@
         """Merge the peer's facts about backend servers into the server table."""
         if not digest.facts:
             return []
-        try:
-            _, received = msgspec.msgpack.decode(digest.facts, type=_FactsPayload)
-        except msgspec.MsgspecError:
+        decoded = decoding.decode(
+            msgspec.msgpack.decode, digest.facts, type=_FactsPayload
+        )
+        if isinstance(decoded, result.Err):
             return [events.CountMetric("peer_refused")]
+        _, received = decoded.ok_value
         transitions = self._table.merge(now, digest.incarnation, received)
         return changes.audit_server_changes(transitions)
 
@@ -501,8 +505,8 @@
     """
     if asked is None or not asked.facts:
         return ()
-    try:
-        wanted, _ = msgspec.msgpack.decode(asked.facts, type=_FactsPayload)
-    except msgspec.MsgspecError:
+    decoded = decoding.decode(msgspec.msgpack.decode, asked.facts, type=_FactsPayload)
+    if isinstance(decoded, result.Err):
         return ()
+    wanted, _ = decoded.ok_value
     return wanted[:UNKNOWN_SERVERS_MAX]
--- a/acacialatch/entryinstance.py
+++ b/acacialatch/entryinstance.py
@@ -1,7 +1,7 @@
 """Process of one entry instance: sockets, timers and signals around the forwarder."""
 
 import abc
-import contextlib
+import functools
 import math
 import random
 import signal
@@ -16,6 +16,7 @@
     backendclient,
     backends,
     batchlink,
+    defects,
     entrysettings,
     errors,
     exposition,
@@ -202,6 +203,7 @@
         self._reload = reload
         self._started_at = trio.current_time()
         random_source = random.SystemRandom()
+        self._defects = defects.DefectLog()
         self._evidence = freshness.Evidence(settings.reads, settings.lapse_s)
         self._forwarder = forwarder.Forwarder(
             settings.zone,
@@ -233,6 +235,7 @@
             settings.reads,
             self._choose_read_pause,
             self._evidence,
+            self._defects,
         )
         self._load_meter = addresses.LoadMeter()
         self._demand_meter = addresses.LoadMeter()
@@ -243,6 +246,7 @@
         self._timer_changed = trio.Event()
         self._wakes_at = math.inf
         self._stopping = False
+        self._batches_malformed = 0
 
     async def run(self) -> None:
         """Serve until a stop signal.
@@ -253,44 +257,47 @@
             An address in the settings cannot be bound.
         """
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._log.run)
+            self._start_task(nursery, "log", self._log.run)
             self._backend_client = backendclient.BackendClient(
-                self._interfaces.backends, self, nursery, self._log_defect
+                self._interfaces.backends,
+                self,
+                nursery,
+                functools.partial(self._defects.record, "replies"),
             )
             self._batch_client = backendclient.BackendClient(
                 batchlink.BatchProtocol(),
                 _BatchReceiver(self._forwarder, self._carry_out),
                 nursery,
-                self._log_defect,
+                functools.partial(self._defects.record, "replies of peers"),
             )
             self._gossip = gossip.Gossip(
                 self._members,
                 self._apply_members,
                 self._forwarder.limits.list_news,
                 self._merge_limit_news,
+                self._defects,
             )
             await nursery.start(self._gossip.run)
             self._caller_server = httpserver.Server(
                 self._handle_request,
                 self._make_error_response,
-                self._log_defect,
+                functools.partial(self._defects.record, "requests of callers"),
                 self._read_limits,
             )
             accepting = trio.CancelScope()
-            listener = await httpserver.listen(self._settings.caller_address)
-            nursery.start_soon(
-                httpserver.serve_until_cancelled,
-                self._caller_server,
-                listener,
-                accepting,
+            await self._start_listener(
                 nursery,
+                self._settings.caller_address,
+                lambda listener: httpserver.serve_until_cancelled(
+                    self._caller_server, listener, accepting, nursery
+                ),
             )
             await self._serve_http_endpoints(nursery)
             await self._serve_batches(nursery)
-            nursery.start_soon(self._store_watcher.run)
-            nursery.start_soon(self._run_timers)
-            nursery.start_soon(self._run_housekeeping)
-            nursery.start_soon(self._watch_settings)
+            self._start_task(nursery, "store watcher", self._store_watcher.run)
+            self._start_task(nursery, "timers", self._run_timers)
+            self._start_task(nursery, "housekeeping", self._run_housekeeping)
+            self._start_task(nursery, "settings", self._watch_settings)
             logs.write(
                 logs.Part.PROCESS,
                 "started",
@@ -303,11 +310,44 @@
             logs.write(logs.Part.PROCESS, "stopped", open=self._forwarder.open_count)
             nursery.cancel_scope.cancel()
 
+    def _start_task(
+        self,
+        nursery: trio.Nursery,
+        task: str,
+        function: typing.Callable[[], typing.Awaitable[None]],
+    ) -> None:
+        """Start a task that runs until the process stops, whatever it meets."""
+        nursery.start_soon(self._defects.keep_running, task, function)
+
+    async def _start_listener(
+        self,
+        nursery: trio.Nursery,
+        address: str,
+        serve: typing.Callable[[trio.SocketListener], typing.Awaitable[None]],
+    ) -> None:
+        """Listen on an address and start the task that accepts its connections.
+
+        Raises
+        ------
+        OSError
+            The address cannot be bound.
+        """
+        opened = [await httpserver.listen(address)]
+
+        async def serve_address() -> None:
+            listener = opened.pop() if opened else await httpserver.listen(address)
+            # A listener that failed is closed, so that it can be opened again.
+            async with listener:
+                await serve(listener)
+
+        self._start_task(nursery, f"listener on {address}", serve_address)
+
     # Requests of callers.
 
     async def _handle_batch(self, message: httpserver.Request) -> httpserver.Response:
         decoded = batchlink.decode_request(message)
         if decoded is None:
+            self._batches_malformed += 1
             logs.write(logs.Part.REQUEST, "batch is malformed", peer=message.peer)
             return self._make_error_response(errors.ErrorKind.MALFORMED_REQUEST.value)
         now = trio.current_time()
@@ -356,9 +396,6 @@
         answer = forwarding.ErrorReply(errors.ErrorKind(kind))
         return self._interfaces.callers.encode(None, answer)
 
-    def _log_defect(self, error: Exception) -> None:
-        logs.write(logs.Part.PROCESS, "defect", error=repr(error))
-
     def _read_limits(self) -> httpserver.Limits:
         deployment = self._forwarder.deployment
         if deployment is None:
@@ -425,7 +462,7 @@
                 await self._timer_changed.wait()
             now = trio.current_time()
             if now >= self._forwarder.next_time():
-                with self._survive_defects():
+                with self._defects.survive("timers"):
                     self._carry_out(self._forwarder.handle_timers(now))
 
     async def _run_housekeeping(self) -> None:
@@ -433,7 +470,7 @@
         previous = trio.current_time()
         while True:
             await trio.sleep(HOUSEKEEPING_PERIOD_S)
-            with self._survive_defects():
+            with self._defects.survive("housekeeping"):
                 now = trio.current_time()
                 if now - previous > PAUSE_THRESHOLD_S:
                     self._members.unsettle(now)
@@ -455,14 +492,6 @@
         threshold = INACTIVE_CALLS_PER_S if own.active else ACTIVE_CALLS_PER_S
         return self._members.set_active(now, demand >= threshold)
 
-    @contextlib.contextmanager
-    def _survive_defects(self) -> typing.Iterator[None]:
-        """Log an unexpected exception of one event and go on with the next one."""
-        try:
-            yield
-        except Exception as error:
-            self._log_defect(error)
-
     def _choose_read_pause(self) -> float:
         """Return the pause between a change in the store and the next read, in seconds.
 
@@ -545,18 +574,26 @@
             (chosen.metrics_address, self._answer_metrics),
         ):
             if address:
-                server = httpserver.Server(
-                    handler, self._make_error_response, self._log_defect
-                )
-                listener = await httpserver.listen(address)
-                nursery.start_soon(httpserver.serve_listener, server, listener, nursery)
+                await self._serve_address(nursery, address, handler)
 
     async def _serve_batches(self, nursery: trio.Nursery) -> None:
+        address = self._settings.gossip_address
+        await self._serve_address(nursery, address, self._handle_batch)
+
+    async def _serve_address(
+        self, nursery: trio.Nursery, address: str, handler: httpserver.Handler
+    ) -> None:
+        """Listen on an address, and serve its connections until the process stops."""
         server = httpserver.Server(
-            self._handle_batch, self._make_error_response, self._log_defect
+            handler,
+            self._make_error_response,
+            functools.partial(self._defects.record, f"requests at {address}"),
+        )
+        await self._start_listener(
+            nursery,
+            address,
+            lambda listener: httpserver.serve_listener(server, listener, nursery),
         )
-        listener = await httpserver.listen(self._settings.gossip_address)
-        nursery.start_soon(httpserver.serve_listener, server, listener, nursery)
 
     async def _answer_readiness(
         self, message: httpserver.Request
@@ -597,6 +634,8 @@
                 "connections_opened": float(self._backend_client.opened),
                 "log_dropped": float(self._log.dropped),
                 "digests_malformed": float(self._gossip.malformed),
+                "batches_malformed": float(self._batches_malformed),
+                "defects": float(self._defects.counts.total()),
             },
             {
                 "requests_open": float(self._forwarder.open_count),
--- a/acacialatch/gossip.py
+++ b/acacialatch/gossip.py
@@ -4,9 +4,10 @@
 import typing
 
 import msgspec
+import result
 import trio
 
-from acacialatch import logs, members
+from acacialatch import decoding, defects, logs, members
 
 # Below the 65,507 bytes that a UDP datagram can carry over IPv4.
 DATAGRAM_BYTES_MAX = 60_000
@@ -37,6 +38,8 @@
         Returns what others should know at a time of the rate limits of servers.
     on_limits : callable
         Called with the time and what another instance knows of them.
+    defect_log : defects.DefectLog or None
+        Receives unexpected exceptions; None makes a new one.
     """
 
     def __init__(
@@ -45,11 +48,13 @@
         on_change: typing.Callable[[], None],
         list_limits: ListLimits = lambda now: (),
         on_limits: OnLimits = lambda now, news: None,
+        defect_log: defects.DefectLog | None = None,
     ):
         self._table = table
         self._on_change = on_change
         self._list_limits = list_limits
         self._on_limits = on_limits
+        self._defects = defect_log or defects.DefectLog()
         self._socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
         self.malformed = 0
 
@@ -68,16 +73,19 @@
         await self._socket.bind(_split_address(self._table.own.gossip_address))
         task_status.started()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._receive)
-            while True:
-                now = trio.current_time()
-                own_zone, other_zones = self._table.choose_targets(now)
-                await self._send(self._table.make_digest(now), own_zone)
-                if other_zones:
-                    await self._send(
-                        self._table.make_digest(now, near=False), other_zones
-                    )
-                await trio.sleep(members.PERIOD_S)
+            nursery.start_soon(
+                self._defects.keep_running, "gossip receiver", self._receive
+            )
+            await self._defects.keep_running("gossip sender", self._send_periodically)
+
+    async def _send_periodically(self) -> None:
+        while True:
+            now = trio.current_time()
+            own_zone, other_zones = self._table.choose_targets(now)
+            await self._send(self._table.make_digest(now), own_zone)
+            if other_zones:
+                await self._send(self._table.make_digest(now, near=False), other_zones)
+            await trio.sleep(members.PERIOD_S)
 
     async def send_digest(self, targets: typing.Iterable[str]) -> None:
         """Send a digest at once, outside the period."""
@@ -101,15 +109,15 @@
         while True:
             try:
                 data, (host, port) = await self._socket.recvfrom(_RECEIVE_BYTES)
-                digest = _DECODER.decode(data)
             except OSError:
                 # The ICMP error of an earlier datagram that met a closed port.
                 continue
-            except msgspec.DecodeError:
+            digest = decoding.decode(_DECODER.decode, data)
+            if isinstance(digest, result.Err):
                 self.malformed += 1
                 continue
             try:
-                await self._merge(digest, f"{host}:{port}")
+                await self._merge(digest.ok_value, f"{host}:{port}")
             except Exception as error:
                 self.malformed += 1
                 logs.write(logs.Part.MEMBERSHIP, "digest failed", error=repr(error))
--- a/acacialatch/httpclient.py
+++ b/acacialatch/httpclient.py
@@ -182,10 +182,11 @@
             return make_failure(
                 events.SendCause.NO_REPLY if sent else events.SendCause.CONNECT_TIMEOUT
             )
-        except (h11.RemoteProtocolError, h11.LocalProtocolError, ValueError):
-            return make_failure(events.SendCause.BAD_REPLY)
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             return make_failure(events.SendCause.CONNECTION_LOST)
+        except Exception:
+            # The bytes of a reply may raise whatever the libraries raise.
+            return make_failure(events.SendCause.BAD_REPLY)
         finally:
             if connection is not None:
                 self._release(call.address, connection, reusable)
--- a/acacialatch/ownership.py
+++ b/acacialatch/ownership.py
@@ -3,8 +3,9 @@
 import typing
 
 import msgspec
+import result
 
-from acacialatch import allotments, leases, messages, model, permits
+from acacialatch import allotments, decoding, leases, messages, model, permits
 
 LIMIT_UNKNOWN = 1_000_000
 """Limit of entry instances before the first configuration.
@@ -140,8 +141,6 @@
         """Return a decoded digest field; None if it is empty or malformed."""
         if not data:
             return None
-        try:
-            return msgspec.msgpack.decode(data, type=kind)
-        except msgspec.MsgspecError:
-            self.malformed += 1
-            return None
+        decoded = decoding.decode(msgspec.msgpack.decode, data, type=kind)
+        self.malformed += isinstance(decoded, result.Err)
+        return decoded.unwrap_or(None)
--- a/acacialatch/runner.py
+++ b/acacialatch/runner.py
@@ -7,6 +7,7 @@
 
 from acacialatch import (
     bodies,
+    defects,
     engine,
     errors,
     events,
@@ -73,6 +74,7 @@
         self._timer_changed = trio.Event()
         self._wakes_at = float("inf")
         self._nursery: trio.Nursery | None = None
+        self._defects = defects.DefectLog()
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -98,7 +100,8 @@
             with trio.move_on_at(self._wakes_at):
                 await self._timer_changed.wait()
             if trio.current_time() >= self._engine.next_timer():
-                self.submit(events.LoopTicked())
+                with self._defects.survive("timers"):
+                    self.submit(events.LoopTicked())
 
     def perform(self, actions: typing.Iterable[events.Action]) -> None:
         """Carry out actions of the engine."""
@@ -137,7 +140,14 @@
         self, task: typing.Callable[..., typing.Any], *args: object
     ) -> None:
         assert self._nursery is not None
-        self._nursery.start_soon(task, *args)
+        self._nursery.start_soon(self._run_task, task, *args)
+
+    async def _run_task(
+        self, task: typing.Callable[..., typing.Any], *args: object
+    ) -> None:
+        """Run a task; an exception ends only what it works on."""
+        with self._defects.survive(task.__name__.strip("_")):
+            await task(*args)
 
     # Backend servers.
 
--- a/acacialatch/sources.py
+++ b/acacialatch/sources.py
@@ -8,7 +8,7 @@
 import result
 import trio
 
-from acacialatch import errors, messages, model, sockets
+from acacialatch import decoding, errors, messages, model, sockets
 
 # The platform answers within milliseconds. An entry instance that receives nothing for
 # 3 s is isolated, so a read that fails must leave time for another within that period.
@@ -178,12 +178,16 @@
 ) -> _SourceResult[tuple[model.ListedInstance, ...]]:
     if answer.status != 200:
         return _make_failure(errors.SourceErrorKind.STATUS, str(answer.status))
-    try:
-        listed = msgspec.json.decode(answer.body, type=list[InstanceRecord])
-    except msgspec.MsgspecError as error:
-        return _make_failure(errors.SourceErrorKind.MALFORMED, str(error))
+    listed = decoding.decode(
+        msgspec.json.decode, answer.body, type=list[InstanceRecord]
+    )
+    if isinstance(listed, result.Err):
+        return _make_failure(errors.SourceErrorKind.MALFORMED, listed.err_value)
     return result.Ok(
-        tuple(model.ListedInstance(*msgspec.structs.astuple(item)) for item in listed)
+        tuple(
+            model.ListedInstance(*msgspec.structs.astuple(item))
+            for item in listed.ok_value
+        )
     )
 
 
@@ -226,10 +230,12 @@
                 return result.Ok(await _exchange(stream, address, target, limit))
         except _UnusableAnswerError as error:
             return result.Err(error.failure)
-        except h11.RemoteProtocolError as error:
-            return _make_failure(errors.SourceErrorKind.MALFORMED, str(error))
         except (OSError, trio.BrokenResourceError) as error:
             return _make_failure(errors.SourceErrorKind.UNREACHABLE, str(error))
+        except Exception as error:
+            # The bytes of an answer may raise whatever the libraries raise.
+            detail = decoding.describe(error)
+            return _make_failure(errors.SourceErrorKind.MALFORMED, detail)
     return _make_failure(
         errors.SourceErrorKind.TIMEOUT, f"no answer within {timeout_s:.3f} s"
     )
--- a/acacialatch/store.py
+++ b/acacialatch/store.py
@@ -8,7 +8,15 @@
 import result
 import trio
 
-from acacialatch import errors, forwarding, freshness, logs, registry
+from acacialatch import (
+    decoding,
+    defects,
+    errors,
+    forwarding,
+    freshness,
+    logs,
+    registry,
+)
 
 RETRY_JITTER_MIN = 0.3
 """Smallest share of the delay before a read is repeated, which is drawn at random."""
@@ -21,6 +29,8 @@
 ReadResult = result.Result[registry.Changes, errors.SourceFailure]
 WatchResult = result.Result[registry.Changes | HistoryLost, errors.SourceFailure]
 
+_Content = typing.TypeVar("_Content")
+
 
 class Store(abc.ABC):
     """Read-only access to deployments and registrations."""
@@ -58,6 +68,8 @@
         few reads.
     evidence : freshness.Evidence
         Receives the times of the answers.
+    defect_log : defects.DefectLog or None
+        Receives unexpected exceptions; None makes a new one.
     """
 
     def __init__(
@@ -68,8 +80,10 @@
         schedule: freshness.ReadSchedule,
         choose_pause: typing.Callable[[], float],
         evidence: freshness.Evidence,
+        defect_log: defects.DefectLog | None = None,
     ):
         self._store = store
+        self._defects = defect_log or defects.DefectLog()
         self._registry = target
         self._on_change = on_change
         self._schedule = schedule
@@ -109,14 +123,14 @@
             if is_synchronized:
                 wait_s = self._schedule.silence_s - pause_s
                 with self._allow_haste(self._schedule.call_timeout_s) as scope:
-                    answer = await self._store.watch(after, wait_s)
+                    answer = await self._read(self._store.watch(after, wait_s))
                 if scope.cancelled_caught:
                     logs.write(logs.Part.CONFIG, "watch replaced", after=after)
                     pause_s = 0.0
                     continue
             else:
                 pause_s = 0.0
-                answer = await self._store.read_all()
+                answer = await self._read(self._store.read_all())
             if isinstance(answer, result.Err):
                 self._record_failure(answer.err_value)
                 # The store may meanwhile drop changes that a new watch would miss.
@@ -141,8 +155,7 @@
             try:
                 self._apply(changes, is_synchronized)
             except Exception as error:
-                # One change that cannot be applied must not end the process.
-                logs.write(logs.Part.PROCESS, "defect", error=repr(error))
+                self._defects.record("store changes", error)
                 is_synchronized = False
                 await self._wait_for_retry()
                 continue
@@ -168,6 +181,18 @@
                 with self._allow_haste(0.0):
                     await trio.sleep(pause_s)
 
+    async def _read(
+        self, read: typing.Awaitable[result.Result[_Content, errors.SourceFailure]]
+    ) -> result.Result[_Content, errors.SourceFailure]:
+        """Return the result of a read; one that raises an exception has failed."""
+        try:
+            return await read
+        except Exception as error:
+            self._defects.record("store read", error)
+            detail = decoding.describe(error)
+            kind = errors.SourceErrorKind.MALFORMED
+            return result.Err(errors.SourceFailure(kind, detail))
+
     @contextlib.contextmanager
     def _allow_haste(self, after_s: float) -> typing.Iterator[trio.CancelScope]:
         """Let `hasten` end the block, once it has run for `after_s` seconds."""
--- a/acacialatch/wire.py
+++ b/acacialatch/wire.py
@@ -21,10 +21,10 @@
 import grpclib.server
 import h2.events
 import h2.exceptions
-import msgspec
+import result
 import trio_asyncio
 
-from acacialatch import messages, model
+from acacialatch import decoding, messages, model
 
 READ_TIMEOUT_S = 5.0
 # HTTP/2 flow-control window: the unread bytes that a connection may buffer.
@@ -273,10 +273,13 @@
                 f"A message of {size} bytes is above the limit {limit}."
             )
         data = await raw_stream.recv_data(size)
-        return messages.decode(data, message_type)
-    except (AssertionError, msgspec.MsgspecError) as error:
+    except AssertionError as error:
         # grpclib asserts that a stream does not end in the middle of a message.
         raise MalformedError(str(error)) from error
+    decoded = decoding.decode(messages.decode, data, message_type)
+    if isinstance(decoded, result.Err):
+        raise MalformedError(decoded.err_value)
+    return decoded.ok_value
 
 
 def make_flow_control() -> grpclib.config.Configuration:
--- a/tests/keyvalue.py
+++ b/tests/keyvalue.py
@@ -52,6 +52,10 @@
         """Write an item; return its revision."""
         return self._record(key, json.dumps(value).encode())
 
+    def put_bytes(self, key: str, value: bytes) -> int:
+        """Write an item of another writer; return its revision."""
+        return self._record(key, value)
+
     def remove(self, key: str) -> int:
         """Remove an item; return the revision of the removal."""
         return self._record(key, None)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -12,6 +12,7 @@
 from acacialatch import (
     backendclient,
     backends,
+    decoding,
     deployment,
     entryinstance,
     errors,
@@ -208,6 +209,30 @@
     assert isinstance(change, registry.InvalidValue)
 
 
+ODD_VALUES = {
+    "nested lists": b'{"service": "a", "zone": %s%s}' % (b"[" * 9000, b"]" * 9000),
+    "nested objects": b'{"a":' * 9000 + b"1" + b"}" * 9000,
+    "nested in a field that is not used": json.dumps(REGISTRATION).encode()[:-1]
+    + b', "other": %s%s}' % (b"[" * 9000, b"]" * 9000),
+    "large number": b'{"slots": 1%s}' % (b"0" * 5000),
+    "large exponent": b'{"slots": 1e99999}',
+    "not UTF-8": b'{"zone": "\xff\xfe"}',
+    "unpaired surrogate": b'{"state": "\\ud800"}',
+    "long text": b'{"state": "%s"}' % (b"x" * 1_000_000),
+    "NUL": b"\0" * 10,
+}
+
+
+@pytest.mark.parametrize("key", ["servers/i-1", "op/config"])
+@pytest.mark.parametrize("value", ODD_VALUES.values(), ids=ODD_VALUES)
+def test_odd_value_of_another_writer_is_refused(key, value):
+    """Guards against a value whose decoder raises an exception that is not expected."""
+    text = base64.b64encode(value).decode()
+    change = kvstore.decode_item({"key": key, "value": text, "revision": 5})
+    assert isinstance(change, registry.InvalidValue)
+    assert len(change.reason) <= decoding.DETAIL_LENGTH_MAX
+
+
 @pytest.mark.parametrize("value", ["%%%", "AAAA", "", 5, None])
 def test_undecodable_registration_is_refused(value):
     """Guards against a value that is not base64 or JSON and stops the store watch."""
--- a/tests/test_entryinstance.py
+++ b/tests/test_entryinstance.py
@@ -8,6 +8,8 @@
 import pytest
 import trio
 
+from acacialatch import entryinstance, gossip, httpserver, store
+
 SHARDS = ("s-0", "s-1", "s-2", "s-3")
 
 
@@ -175,3 +177,76 @@
     assert answer.startswith(b"HTTP/1.1 503"), answer
     assert b"retry-after" in answer.lower()
     assert backend.received == []
+
+
+async def start_instance(nursery, script):
+    """Start an instance with one backend server; return it and its store."""
+    served = keyvalue.KeyValueStore()
+    address = await nursery.start(keyvalue.serve, served)
+    backend = entry.Backend(script)
+    await nursery.start(backend.serve)
+    route = keyvalue.make_route("lookup", "single")
+    entry.publish(served, [route], [("single", backend, "a")])
+    instance = entry.Entry(address)
+    nursery.start_soon(instance.run)
+    await instance.wait_until_ready()
+    return instance, served
+
+
+@pytest.mark.parametrize("key", ["servers/i-other", "op/config", "op/evacuate/b"])
+async def test_odd_value_in_the_store_does_not_end_the_process(nursery, key):
+    """Guards against entry instances that end while the store holds an odd value.
+
+    Another writer left an entry that was nested too deeply, and all instances that
+    read it ended with RecursionError, again after each start.
+    """
+    instance, served = await start_instance(nursery, entry.make_slow_script(0.0))
+    served.put_bytes(key, b'{"zone": ' + b"[" * 9000 + b"]" * 9000 + b"}")
+    # A later change shows that the store is still followed.
+    served.put("op/evacuate/a", {})
+    with trio.fail_after(entry.ANSWER_TIMEOUT_S):
+        while (await instance.request("/lookup/", deadline_ms=200)).status == 200:
+            await trio.sleep(0.05)
+    served.remove("op/evacuate/a")
+    with trio.fail_after(entry.ANSWER_TIMEOUT_S):
+        while (await instance.request("/lookup/", deadline_ms=200)).status != 200:
+            await trio.sleep(0.05)
+    assert await instance.count("store_unreadable") == (0 if "evacuate" in key else 1)
+    assert await instance.count("defects") == 0
+
+
+TASKS = {
+    "store watcher": (store.StoreWatcher, "run"),
+    "timers": (entryinstance.EntryInstance, "_run_timers"),
+    "housekeeping": (entryinstance.EntryInstance, "_run_housekeeping"),
+    "settings": (entryinstance.EntryInstance, "_watch_settings"),
+    "gossip receiver": (gossip.Gossip, "_receive"),
+    "gossip sender": (gossip.Gossip, "_send_periodically"),
+    "listener": (httpserver, "serve_until_cancelled"),
+}
+
+
+@pytest.mark.parametrize("task", TASKS)
+async def test_exception_in_a_task_does_not_end_the_process(nursery, monkeypatch, task):
+    """Guards against a process that one unexpected exception in any task ends."""
+    holder, name = TASKS[task]
+    original = getattr(holder, name)
+    failed = []
+
+    async def fail_once(*arguments, **options):
+        if not failed:
+            failed.append(name)
+            # The process has started by then.
+            await trio.sleep(0.2)
+            raise RuntimeError("nobody thought of this")
+        return await original(*arguments, **options)
+
+    monkeypatch.setattr(holder, name, fail_once)
+    instance, _ = await start_instance(nursery, entry.make_slow_script(0.0))
+    with trio.fail_after(entry.ANSWER_TIMEOUT_S):
+        while not await instance.count("defects"):
+            await trio.sleep(0.05)
+    await trio.sleep(0.3)
+    answer = await instance.request("/lookup/")
+    assert answer.status == 200
+    assert not instance.ended.is_set()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -80,6 +80,36 @@
     assert core.deployment.version == 4
 
 
+@pytest.mark.parametrize("fails_at_start", [True, False])
+async def test_read_that_raises_an_exception_has_only_failed(
+    nursery, autojump_clock, fails_at_start
+):
+    """Guards against a process that ends since a read of the store raised."""
+
+    class RaisingStore(ScriptedStore):
+        raises = fails_at_start
+
+        async def read_all(self):
+            if self.raises:
+                raise RecursionError("deep")
+            return await super().read_all()
+
+        async def watch(self, after, wait_s):
+            if self.raises:
+                raise RecursionError("deep")
+            return await super().watch(after, wait_s)
+
+    scripted = RaisingStore()
+    core = start_watcher(nursery, scripted)
+    await trio.sleep(1.0)
+    scripted.raises = True
+    await trio.sleep(5.0)
+    scripted.raises = False
+    scripted.content = result.Ok(registry.Changes(5, (make_deployment(4, 5),)))
+    await trio.sleep(2.0)
+    assert core.deployment.version == 4
+
+
 async def test_everything_is_read_again_after_history_was_dropped(
     nursery, autojump_clock
 ):
