Handle the signals of the platform from the start to the end of the process

The users saw processes that did not start or ended by themselves (FAULT), and kept no logs. That this is what they saw is suspected, not shown.

Cause: SIGHUP ended a process until its event loop ran, and again in the last moments of a planned stop, since the handler belonged to one task. A stop signal between the first accepted connection and its handler ended the process at once. Ruled out for this fault: the settings file and the store, which were in order.

--- a/acacialatch/entryinstance.py
+++ b/acacialatch/entryinstance.py
@@ -256,6 +256,17 @@
         OSError
             An address in the settings cannot be bound.
         """
+        # A signal that arrives during the start is handled as soon as it is over.
+        with (
+            trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as stops,
+            trio.open_signal_receiver(signal.SIGHUP) as reloads,
+        ):
+            await self._run(stops, reloads)
+
+    async def _run(
+        self, stops: typing.AsyncIterator[int], reloads: typing.AsyncIterator[int]
+    ) -> None:
+        """Serve until `stops` yields a signal."""
         async with trio.open_nursery() as nursery:
             self._start_task(nursery, "log", self._log.run)
             self._backend_client = backendclient.BackendClient(
@@ -297,7 +308,9 @@
             self._start_task(nursery, "store watcher", self._store_watcher.run)
             self._start_task(nursery, "timers", self._run_timers)
             self._start_task(nursery, "housekeeping", self._run_housekeeping)
-            self._start_task(nursery, "settings", self._watch_settings)
+            self._start_task(
+                nursery, "settings", functools.partial(self._watch_settings, reloads)
+            )
             logs.write(
                 logs.Part.PROCESS,
                 "started",
@@ -306,7 +319,7 @@
                 address=self._settings.caller_address,
                 incarnation=self._members.own.incarnation,
             )
-            await self._wait_for_stop(accepting)
+            await self._wait_for_stop(accepting, stops)
             logs.write(logs.Part.PROCESS, "stopped", open=self._forwarder.open_count)
             nursery.cancel_scope.cancel()
 
@@ -549,20 +562,19 @@
         if self._members.set_ready(ready):
             logs.write(logs.Part.MEMBERSHIP, "readiness changed", ready=ready)
 
-    async def _watch_settings(self) -> None:
-        """Apply changed settings, on SIGHUP and every `RELOAD_PERIOD_S`."""
-        with trio.open_signal_receiver(signal.SIGHUP) as received:
-            while True:
-                with trio.move_on_after(RELOAD_PERIOD_S):
-                    await received.__anext__()
-                reloaded = self._reload()
-                if isinstance(reloaded, result.Ok):
-                    self._forwarder.set_budgets(reloaded.ok_value.budgets)
-                    self._members.set_seeds(reloaded.ok_value.seeds)
-                    logs.write(logs.Part.PROCESS, "settings reloaded")
-                elif reloaded is not None:
-                    reason = reloaded.err_value
-                    logs.write(logs.Part.PROCESS, "settings refused", reason=reason)
+    async def _watch_settings(self, reloads: typing.AsyncIterator[int]) -> None:
+        """Apply changed settings, on a signal and every `RELOAD_PERIOD_S`."""
+        while True:
+            with trio.move_on_after(RELOAD_PERIOD_S):
+                await anext(reloads)
+            reloaded = self._reload()
+            if isinstance(reloaded, result.Ok):
+                self._forwarder.set_budgets(reloaded.ok_value.budgets)
+                self._members.set_seeds(reloaded.ok_value.seeds)
+                logs.write(logs.Part.PROCESS, "settings reloaded")
+            elif reloaded is not None:
+                reason = reloaded.err_value
+                logs.write(logs.Part.PROCESS, "settings refused", reason=reason)
 
     # Endpoints for callers, the platform and other entry instances.
 
@@ -656,7 +668,9 @@
 
     # Shutdown.
 
-    async def _wait_for_stop(self, accepting: trio.CancelScope) -> None:
+    async def _wait_for_stop(
+        self, accepting: trio.CancelScope, stops: typing.AsyncIterator[int]
+    ) -> None:
         """Wait for a stop signal, then shut down.
 
         New requests are served for `LEAVE_DELAY_S`; then callers' connections are
@@ -664,24 +678,21 @@
         progress when the stop time of the settings has passed is answered at once.
         What is read afterwards is refused until the last connection has closed.
         """
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-            await received.__anext__()
-            self._stopping = True
-            self._forwarder.announce_stop(trio.current_time() + self._settings.stop_s)
-            logs.write(
-                logs.Part.PROCESS, "stop signal", open=self._forwarder.open_count
-            )
-            self._update_readiness()
-            self._caller_server.announce_close()
-            await self._gossip.send_digest(self._members.list_all_targets())
-            with trio.move_on_after(self._settings.stop_s):
-                await trio.sleep(LEAVE_DELAY_S)
-                accepting.cancel()
-                self._caller_server.close_idle()
-                while self._caller_server.connections or self._forwarder.open_count:
-                    await trio.sleep(CLOSE_POLL_PERIOD_S)
-                return
-            self._carry_out(self._forwarder.stop(trio.current_time()))
-            with trio.move_on_after(FLUSH_TIMEOUT_S):
-                while self._caller_server.connections:
-                    await trio.sleep(CLOSE_POLL_PERIOD_S)
+        await anext(stops)
+        self._stopping = True
+        self._forwarder.announce_stop(trio.current_time() + self._settings.stop_s)
+        logs.write(logs.Part.PROCESS, "stop signal", open=self._forwarder.open_count)
+        self._update_readiness()
+        self._caller_server.announce_close()
+        await self._gossip.send_digest(self._members.list_all_targets())
+        with trio.move_on_after(self._settings.stop_s):
+            await trio.sleep(LEAVE_DELAY_S)
+            accepting.cancel()
+            self._caller_server.close_idle()
+            while self._caller_server.connections or self._forwarder.open_count:
+                await trio.sleep(CLOSE_POLL_PERIOD_S)
+            return
+        self._carry_out(self._forwarder.stop(trio.current_time()))
+        with trio.move_on_after(FLUSH_TIMEOUT_S):
+            while self._caller_server.connections:
+                await trio.sleep(CLOSE_POLL_PERIOD_S)
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,109 @@
+"""Tests of the process that the platform starts, as a process of its own."""
+
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import entry
+import processes
+import pytest
+
+COMMAND = [sys.executable, str(processes.ROOT / "platform" / "serve.py")]
+READY = b"GET /readiness HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+
+
+@pytest.fixture
+def settings(tmp_path):
+    """Return the settings of an instance, which has no store, and their file."""
+    chosen = entry.Entry("127.0.0.1:9")
+    path = tmp_path / "settings.toml"
+    path.write_text(chosen.text)
+    return chosen, path
+
+
+@pytest.fixture
+def start(settings, tmp_path):
+    """Return a function that starts the program; it is killed after the test."""
+    started = []
+
+    def start_program(**environment: str) -> subprocess.Popen:
+        with (tmp_path / "log.txt").open("ab") as log:
+            process = subprocess.Popen(
+                COMMAND,
+                cwd=processes.ROOT,
+                env={**os.environ, "ACACIALATCH_BOOT": str(settings[1]), **environment},
+                stdout=log,
+                stderr=log,
+            )
+        started.append(process)
+        return process
+
+    yield start_program
+    for process in started:
+        processes.kill(process)
+
+
+def is_serving(ip: str) -> bool:
+    """Return whether an instance answers readiness checks."""
+    try:
+        with socket.create_connection((ip, entry.READY_PORT), 1.0) as connection:
+            connection.sendall(READY)
+            return connection.recv(64).startswith(b"HTTP/1.1 503")
+    except OSError:
+        return False
+
+
+def read_log(tmp_path: pathlib.Path) -> str:
+    return (tmp_path / "log.txt").read_text()
+
+
+def test_reload_signal_during_the_imports_does_not_end_the_process(start, tmp_path):
+    """Guards against a start that a change of the settings ends.
+
+    SIGHUP ended a process until its event loop ran, which takes a second and more on a
+    busy machine.
+    """
+    stand_in = "import os, signal\nos.kill(os.getpid(), signal.SIGHUP)\nos._exit(7)\n"
+    (tmp_path / "trio.py").write_text(stand_in)
+    process = start(PYTHONPATH=str(tmp_path))
+    assert process.wait(processes.WAIT_S) == 7
+
+
+def test_reload_signals_never_end_the_process(settings, start):
+    """Guards against a moment of the start or stop at which SIGHUP ends the process."""
+    process = start()
+    status = pathlib.Path(f"/proc/{process.pid}/status")
+
+    def ignores_reload() -> bool:
+        line = next(x for x in status.read_text().splitlines() if "SigIgn" in x)
+        return bool(int(line.split()[1], 16) & 1 << signal.SIGHUP - 1)
+
+    # No program can prevent an end before its first statement.
+    processes.wait_until(ignores_reload)
+    stop_at = None
+    while process.poll() is None:
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.002)
+        if stop_at is None and is_serving(settings[0].ip):
+            process.send_signal(signal.SIGTERM)
+            stop_at = time.monotonic()
+    assert stop_at is not None
+    assert process.wait() == 0
+
+
+def test_stop_signal_right_after_the_start_is_a_planned_stop(settings, start):
+    """Guards against a stop that cuts requests since the process had just started."""
+    process = start()
+    address = (settings[0].ip, entry.FRONT_PORT)
+
+    def accepts() -> bool:
+        with socket.socket() as connection:
+            return connection.connect_ex(address) == 0
+
+    processes.wait_until(accepts)
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(processes.WAIT_S) == 0
