--- a/acacialatch/entryinstance.py
+++ b/acacialatch/entryinstance.py
@@ -247,6 +247,7 @@
         self._wakes_at = math.inf
         self._stopping = False
         self._batches_malformed = 0
+        self._settings_refused = 0
 
     async def run(self) -> None:
         """Serve until a stop signal.
@@ -574,6 +575,7 @@
                 logs.write(logs.Part.PROCESS, "settings reloaded")
             elif reloaded is not None:
                 reason = reloaded.err_value
+                self._settings_refused += 1
                 logs.write(logs.Part.PROCESS, "settings refused", reason=reason)
 
     # Endpoints for callers, the platform and other entry instances.
@@ -648,6 +650,7 @@
                 "log_dropped": float(self._log.dropped),
                 "digests_malformed": float(self._gossip.malformed),
                 "batches_malformed": float(self._batches_malformed),
+                "settings_refused": float(self._settings_refused),
                 "defects": float(self._defects.counts.total()),
             },
             {
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -11,6 +11,7 @@
 import entry
 import processes
 import pytest
+from adapter import program
 
 COMMAND = [sys.executable, str(processes.ROOT / "platform" / "serve.py")]
 READY = b"GET /readiness HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
@@ -107,3 +108,64 @@
     processes.wait_until(accepts)
     process.send_signal(signal.SIGTERM)
     assert process.wait(processes.WAIT_S) == 0
+
+
+ODD_FILES = {
+    "not UTF-8": b"node_name = '\xff\xfe'",
+    "nested": b"a = " + b"[" * 3000 + b"]" * 3000,
+    "empty": b"",
+    "incomplete": b'node_name = "a"\n[listen_addr',
+    "huge number": b"a = " + b"1" * 5000,
+    "missing": None,
+}
+
+
+def write_settings(path: pathlib.Path, content: bytes | None) -> None:
+    """Replace the settings file, or remove it."""
+    if content is None:
+        path.unlink()
+    else:
+        path.write_bytes(content)
+
+
+@pytest.mark.parametrize("content", ODD_FILES.values(), ids=ODD_FILES)
+def test_odd_settings_file_at_a_reload_leaves_the_last_one(
+    settings, start, tmp_path, content
+):
+    """Guards against a process that a settings file ends while it is replaced."""
+    chosen, path = settings
+    process = start()
+    processes.wait_until(lambda: is_serving(chosen.ip))
+    write_settings(path, content)
+    process.send_signal(signal.SIGHUP)
+    processes.wait_until(lambda: "settings refused" in read_log(tmp_path))
+    path.write_text(chosen.text + "\n# changed\n")
+    process.send_signal(signal.SIGHUP)
+    processes.wait_until(lambda: "settings reloaded" in read_log(tmp_path))
+    assert is_serving(chosen.ip)
+    assert process.poll() is None
+    assert "defect" not in read_log(tmp_path)
+
+
+@pytest.mark.parametrize("content", ODD_FILES.values(), ids=ODD_FILES)
+def test_start_waits_for_a_settings_file_that_is_being_replaced(
+    settings, start, tmp_path, content
+):
+    """Guards against a start that fails since its settings file is not whole yet."""
+    chosen, path = settings
+    write_settings(path, content)
+    process = start()
+    processes.wait_until(lambda: "settings: " in read_log(tmp_path))
+    path.write_text(chosen.text)
+    processes.wait_until(lambda: is_serving(chosen.ip))
+    assert process.poll() is None
+
+
+def test_start_without_valid_settings_ends_with_a_clear_status(
+    settings, start, tmp_path
+):
+    """Guards against a process that waits forever, or ends without a reason."""
+    chosen, path = settings
+    path.write_text(chosen.text.replace("grace_s = 6.0", ""))
+    assert start().wait(processes.WAIT_S) == program.EXIT_SETTINGS
+    assert read_log(tmp_path) == "settings: grace_s is missing\n"
