Wait for an address that another process still holds at the start

A process whose predecessor had not ended yet, so that one of its addresses was in use, ended with a traceback and status 1, again at each new start until the address was free (FAULT). That the users saw this is suspected, not shown.

Cause: each address was bound once, and an error left the nursery.

Change: sockets.wait_until_bound tries again for 8 s, more than a planned stop takes, for addresses in use and for those that are not set up yet, and logs it once. Then the process ends with status 3 and one line that names the address.

--- a/acacialatch/entryinstance.py
+++ b/acacialatch/entryinstance.py
@@ -28,6 +28,7 @@
     logs,
     members,
     registry,
+    sockets,
     store,
 )
 
@@ -346,10 +347,16 @@
         OSError
             The address cannot be bound.
         """
-        opened = [await httpserver.listen(address)]
+
+        async def open_listener() -> trio.SocketListener:
+            return await sockets.wait_until_bound(
+                address, lambda: httpserver.listen(address)
+            )
+
+        opened = [await open_listener()]
 
         async def serve_address() -> None:
-            listener = opened.pop() if opened else await httpserver.listen(address)
+            listener = opened.pop() if opened else await open_listener()
             # A listener that failed is closed, so that it can be opened again.
             async with listener:
                 await serve(listener)
--- a/acacialatch/gossip.py
+++ b/acacialatch/gossip.py
@@ -7,7 +7,7 @@
 import result
 import trio
 
-from acacialatch import decoding, defects, logs, members
+from acacialatch import decoding, defects, logs, members, sockets
 
 # Below the 65,507 bytes that a UDP datagram can carry over IPv4.
 DATAGRAM_BYTES_MAX = 60_000
@@ -70,7 +70,10 @@
         OSError
             If the gossip address cannot be bound.
         """
-        await self._socket.bind(_split_address(self._table.own.gossip_address))
+        address = self._table.own.gossip_address
+        await sockets.wait_until_bound(
+            address, lambda: self._socket.bind(_split_address(address))
+        )
         task_status.started()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -19,6 +19,7 @@
 START_TIMEOUT_S = 10.0
 ANSWER_TIMEOUT_S = 10.0
 FRONT_PORT, READY_PORT, METRICS_PORT = 8104, 8108, bootfile.METRICS_PORT
+GOSSIP_PORT = 7380
 
 _serials = itertools.count(1)
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -169,3 +169,46 @@
     path.write_text(chosen.text.replace("grace_s = 6.0", ""))
     assert start().wait(processes.WAIT_S) == program.EXIT_SETTINGS
     assert read_log(tmp_path) == "settings: grace_s is missing\n"
+
+
+LISTENERS = {
+    "callers": (entry.FRONT_PORT, socket.SOCK_STREAM),
+    "readiness": (entry.READY_PORT, socket.SOCK_STREAM),
+    "metrics": (entry.METRICS_PORT, socket.SOCK_STREAM),
+    "batches": (entry.GOSSIP_PORT, socket.SOCK_STREAM),
+    "digests": (entry.GOSSIP_PORT, socket.SOCK_DGRAM),
+}
+
+
+def hold_address(ip: str, name: str) -> socket.socket:
+    """Return a socket that listens on an address of an instance."""
+    port, kind = LISTENERS[name]
+    held = socket.socket(type=kind)
+    held.bind((ip, port))
+    if kind is socket.SOCK_STREAM:
+        held.listen()
+    return held
+
+
+@pytest.mark.parametrize("name", LISTENERS)
+def test_start_waits_for_an_address_that_another_process_holds(
+    settings, start, tmp_path, name
+):
+    """Guards against a start that fails while its predecessor is still ending."""
+    with hold_address(settings[0].ip, name):
+        process = start()
+        processes.wait_until(lambda: "address waits" in read_log(tmp_path))
+    processes.wait_until(lambda: is_serving(settings[0].ip))
+    assert process.poll() is None
+
+
+def test_address_that_stays_in_use_ends_the_start_with_a_clear_status(
+    settings, start, tmp_path
+):
+    """Guards against a process that serves only some of its addresses."""
+    with hold_address(settings[0].ip, "metrics"):
+        assert start().wait(processes.WAIT_S) == program.EXIT_ADDRESS
+    lines = read_log(tmp_path).splitlines()
+    assert lines[-1].startswith("address: [Errno 98]")
+    assert f"{settings[0].ip}:{entry.METRICS_PORT}" in lines[-1]
+    assert "Traceback" not in read_log(tmp_path)
