Fail only the send for which no socket can be opened

When a process had used up its descriptors, requests waited for their deadline without having been sent anywhere, and others got an internal error.

Cause: the socket was opened within the series of actions of an event, and the exception ended the series; attempts later in it never got an outcome.

Change: the socket is opened by the task of the connection, so that the failure is the outcome of this send, as not sent. A send that is cancelled before its task runs opens none.

--- a/acacialatch/backendclient.py
+++ b/acacialatch/backendclient.py
@@ -236,7 +236,7 @@
     """
 
     address: str
-    socket: socket.socket
+    socket: socket.socket | None
     send: forwarding.Outgoing | None
     parser: _ReplyParser
     unsent: bytes = b""
@@ -374,10 +374,7 @@
         return None
 
     def _start_connection(self, send: forwarding.Outgoing) -> None:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        sockets.enable_dead_peer_detection(sock)
-        connection = _Connection(send.address, sock, send, _ReplyParser())
+        connection = _Connection(send.address, None, send, _ReplyParser())
         self._sends[send.number] = connection
         self.opened += 1
         self.connections += 1
@@ -397,6 +394,9 @@
     async def _run_connection(self, connection: _Connection) -> None:
         """Connect, write the first request and read until the connection closes."""
         try:
+            if connection.is_closed:
+                # The send was cancelled before this task ran.
+                return
             try:
                 await self._connect(connection)
                 if connection.is_closed:
@@ -427,7 +427,11 @@
 
     async def _connect(self, connection: _Connection) -> None:
         host, _, port = connection.address.rpartition(":")
-        sock = connection.socket
+        # Fails if the process has no descriptor left.
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        connection.socket = sock
+        sock.setblocking(False)
+        sockets.enable_dead_peer_detection(sock)
         code = sock.connect_ex((host, int(port)))
         if code == errno.EINPROGRESS:
             with trio.fail_after(CONNECT_TIMEOUT_S):
@@ -612,8 +616,9 @@
         idle = self._idle.get(connection.address)
         if idle and connection in idle:
             idle.remove(connection)
-        trio.lowlevel.notify_closing(connection.socket)
-        connection.socket.close()
+        if connection.socket is not None:
+            trio.lowlevel.notify_closing(connection.socket)
+            connection.socket.close()
 
 
 def _is_to_other_request(outcome: Outcome | forwarding.SendFailure) -> bool:
--- a/tests/test_backendclient.py
+++ b/tests/test_backendclient.py
@@ -3,6 +3,8 @@
 import contextlib
 import functools
 import random
+import resource
+import socket
 
 import pytest
 import trio
@@ -533,3 +535,50 @@
     client.send(make_send(9, address, identity="t"))
     await collector.next()
     assert server.received[-1] == ["s", "t"]
+
+
+@contextlib.contextmanager
+def use_up_descriptors():
+    """Let the process open no further descriptor within the block."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    with contextlib.ExitStack() as held:
+        probe = held.enter_context(socket.socket())
+        resource.setrlimit(resource.RLIMIT_NOFILE, (probe.fileno() + 1, hard))
+        with contextlib.suppress(OSError):
+            while True:
+                held.enter_context(socket.socket())
+        try:
+            yield
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+async def test_send_without_a_descriptor_fails_and_lets_the_next_ones_go_on(nursery):
+    """Guards against actions that are lost when descriptors are used up.
+
+    The exception ended the series of actions that contained the send, so that other
+    requests of the series never got an outcome.
+    """
+    collector = OutcomeCollector()
+    client = backendclient.BackendClient(FixedRequestProtocol(), collector, nursery)
+    with use_up_descriptors():
+        for number in range(3):
+            client.send(make_send(number, "127.0.0.1:9"))
+        outcomes = [await collector.next() for _ in range(3)]
+    assert sorted(number for number, _ in outcomes) == [0, 1, 2]
+    for _, failure in outcomes:
+        assert failure.kind is forwarding.FailureKind.NOT_SENT
+        assert "Too many open files" in failure.detail
+    assert client.connections == 0
+
+
+async def test_send_cancelled_before_it_connects_opens_no_connection(nursery):
+    """Guards against a request that is sent although it was cancelled."""
+    backend, collector = BackendStandIn(nursery), OutcomeCollector()
+    await backend.serve([COMPLETE_REPLY])
+    client = backendclient.BackendClient(FixedRequestProtocol(), collector, nursery)
+    client.send(make_send(1, backend.address))
+    client.cancel(1)
+    await trio.sleep(0.05)
+    assert backend.accepted == []
+    assert client.connections == 0
