Bound the chunks of a body, not only its bytes

Cause: each chunk takes the parser a fixed time, but all bounds counted bytes, so that such a reply was given up after 8 million chunks.

Change: framing.check_chunks allows 4,096 chunks of any size and further ones of 16 bytes in the mean, for replies in both clients, answers of the platform and requests of callers.

--- a/acacialatch/backendclient.py
+++ b/acacialatch/backendclient.py
@@ -11,7 +11,7 @@
 import httptools
 import trio
 
-from acacialatch import forwarding, sockets
+from acacialatch import forwarding, framing, sockets
 
 CONNECT_TIMEOUT_S = 0.3
 """Time in seconds to connect, after which the server counts as unreachable."""
@@ -156,6 +156,7 @@
         self._body = bytearray()
         self._is_head_complete = False
         self._received_bytes = 0
+        self._chunks = 0
         self._fields_seen = 0
         self._http = httptools.HttpResponseParser(self)
 
@@ -197,6 +198,10 @@
     def on_headers_complete(self) -> None:
         self._is_head_complete = True
 
+    def on_chunk_header(self) -> None:
+        self._chunks += 1
+        framing.check_chunks(self._chunks, self.body_bytes)
+
     def on_body(self, data: bytes) -> None:
         self._body += data
         self.body_bytes += len(data)
--- a/acacialatch/httpclient.py
+++ b/acacialatch/httpclient.py
@@ -7,7 +7,7 @@
 import h11
 import trio
 
-from acacialatch import events
+from acacialatch import events, framing
 
 CONNECTION_LIVE_S = 1.0
 """Time after an exchange for which its connection is known to work, in seconds."""
@@ -303,7 +303,7 @@
     """
     response: h11.Response | None = None
     body = bytearray()
-    interim = received = 0
+    interim = received = chunks = 0
     while True:
         event = connection.http.next_event()
         if event is h11.NEED_DATA:
@@ -321,6 +321,8 @@
             _check_body_length(response)
         elif isinstance(event, h11.Data):
             body += event.data
+            chunks += event.chunk_start
+            framing.check_chunks(chunks, len(body))
             if len(body) > REPLY_BYTES_MAX:
                 raise ValueError("reply body exceeds REPLY_BYTES_MAX")
         elif isinstance(event, h11.EndOfMessage):
--- a/acacialatch/httpserver.py
+++ b/acacialatch/httpserver.py
@@ -6,6 +6,8 @@
 import h11
 import trio
 
+from acacialatch import framing
+
 KEEP_ALIVE_MARGIN_S = 2.0
 """Idle time that a connection is kept beyond that announced to callers, in seconds."""
 
@@ -238,7 +240,7 @@
         while True:
             try:
                 request = await self._read_request()
-            except h11.RemoteProtocolError:
+            except (h11.RemoteProtocolError, ValueError):
                 await self._send_and_discard_rest(
                     self._server.make_error_response("malformed_request")
                 )
@@ -272,7 +274,7 @@
 
         Raises
         ------
-        h11.RemoteProtocolError
+        h11.RemoteProtocolError, ValueError
             The request is malformed.
         _BodyTooLargeError
             The body exceeds the limit.
@@ -281,6 +283,7 @@
         """
         head: h11.Request | None = None
         body = bytearray()
+        chunks = 0
         self._limits = self._server.read_limits()
         started = False
         while True:
@@ -304,6 +307,8 @@
                 head = event
             elif isinstance(event, h11.Data):
                 body += event.data
+                chunks += event.chunk_start
+                framing.check_chunks(chunks, len(body))
                 if len(body) > self._limits.body_bytes_max:
                     raise _BodyTooLargeError
             elif isinstance(event, h11.EndOfMessage) and head is not None:
--- a/acacialatch/sources.py
+++ b/acacialatch/sources.py
@@ -8,7 +8,7 @@
 import result
 import trio
 
-from acacialatch import decoding, errors, messages, model, sockets
+from acacialatch import decoding, errors, framing, messages, model, sockets
 
 # The platform answers within milliseconds. An entry instance that receives nothing for
 # 3 s is isolated, so a read that fails must leave time for another within that period.
@@ -252,7 +252,7 @@
     )
     status, revision, body = 0, "", bytearray()
     fields: tuple[tuple[bytes, bytes], ...] = ()
-    interim = received = 0
+    interim = received = chunks = 0
     while True:
         event = connection.next_event()
         if event is h11.NEED_DATA:
@@ -278,6 +278,8 @@
             _check_framing(event)
         elif isinstance(event, h11.Data):
             body += event.data
+            chunks += event.chunk_start
+            framing.check_chunks(chunks, len(body))
             if len(body) > limit:
                 detail = f"body is larger than {limit} bytes"
                 raise _UnusableAnswerError(errors.SourceErrorKind.TOO_LARGE, detail)
--- a/tests/test_backendclient.py
+++ b/tests/test_backendclient.py
@@ -9,7 +9,7 @@
 import pytest
 import trio
 
-from acacialatch import backendclient, forwarding
+from acacialatch import backendclient, forwarding, framing
 
 COMPLETE_REPLY = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 
@@ -249,6 +249,48 @@
     assert client.connections == 1
 
 
+async def test_chunks_without_end_leave_the_event_loop_to_others(nursery):
+    """Guards against replies in one-byte chunks that hold up all other requests.
+
+    Each was given up only after millions of chunks, and several of them kept sound
+    requests waiting for seconds beyond their deadlines.
+    """
+    handler = functools.partial(
+        send_endlessly, start=CHUNKED_HEAD, repeated=b"1\r\nx\r\n" * 6_000
+    )
+    address, collector = await serve_once(nursery, handler), OutcomeCollector()
+    client = backendclient.BackendClient(FixedRequestProtocol(), collector, nursery)
+    chunks = 0
+
+    def count_chunk(number, body_bytes):
+        nonlocal chunks
+        chunks += 1
+        return check_chunks(number, body_bytes)
+
+    check_chunks = framing.check_chunks
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(framing, "check_chunks", count_chunk)
+        for number in range(10):
+            client.send(make_send(number, address))
+        for _ in range(10):
+            outcome = (await collector.next())[1]
+            assert outcome.kind is forwarding.FailureKind.MALFORMED_REPLY
+    most = framing.CHUNKS_FREE + 1
+    most += most // (framing.CHUNK_BYTES_MIN - 1)
+    assert 10 <= chunks <= 10 * most
+
+
+@pytest.mark.parametrize(
+    ("chunk_bytes", "count"), [(1, 4_000), (16, 20_000), (1000, 2_000)]
+)
+async def test_reply_in_many_chunks_is_whole(nursery, chunk_bytes, count):
+    """Guards against a bound on chunks that refuses a sound reply."""
+    chunk = b"%x\r\n%s\r\n" % (chunk_bytes, b"x" * chunk_bytes)
+    reply = CHUNKED_HEAD + count * chunk + b"0\r\n\r\n"
+    outcomes, _, _ = await exchange_in_turn(nursery, [reply])
+    assert outcomes[0].body == b"x" * chunk_bytes * count
+
+
 async def test_endless_bytes_after_a_reply_close_the_connection(nursery):
     """Guards against bytes after a complete reply that are collected without end."""
     handler = functools.partial(
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -74,6 +74,12 @@
         b"HTTP/1.1 200 OK\r\n\r\nno length",
         b"HTTP/1.1 200 OK\r\ncontent-length: x\r\n\r\n",
         b"garbage\r\n\r\n",
+        pytest.param(
+            OK_REPLY.partition(b"\r\n")[0]
+            + b"\r\ntransfer-encoding: chunked\r\n\r\n"
+            + b"1\r\nx\r\n" * 5_000,
+            id="small chunks",
+        ),
     ],
 )
 async def test_malformed_reply_is_an_error(nursery, reply):
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -77,6 +77,12 @@
             + bytes(httpserver.Limits().body_bytes_max + 1),
             b"body_too_large",
         ),
+        pytest.param(
+            b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+            + b"1\r\nx\r\n" * 5_000,
+            b"malformed_request",
+            id="small chunks",
+        ),
     ],
 )
 async def test_bad_request_gets_a_clear_error(nursery, data, kind):
