Count the heads of replies in the limit on all replies in progress

An operator reported that bytes without end in heads used up the memory of a process. Here each head was bounded by 128 KiB, but not their sum: an instance with hundreds of requests in flight could hold that many heads.

Cause: the limit on the replies in progress counted the bytes of bodies.

Change: it counts all bytes that a reply has brought.

Evidence: test_backendclient heads_without_end_share fails on (no reply is given up at 2.4 MB with a limit of 1 MiB) and passes now.

--- a/acacialatch/backendclient.py
+++ b/acacialatch/backendclient.py
@@ -32,7 +32,7 @@
 """Largest body of a reply in bytes."""
 
 REPLIES_BYTES_MAX = 32 << 20
-"""Bodies of all replies that are being received, in bytes.
+"""Bytes of all replies that are being received, with their heads.
 
 The largest ones are given up beyond it. The smallest entry instances have 200 MB.
 """
@@ -144,8 +144,8 @@
         Complete replies that have not been taken yet, in order of arrival.
     is_within_reply : bool
         Whether a reply has begun that is not complete.
-    body_bytes : int
-        Bytes of all bodies so far.
+    received_bytes, body_bytes : int
+        Bytes received so far, and those of them that belong to bodies.
     """
 
     def __init__(self) -> None:
@@ -155,7 +155,7 @@
         self._fields: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
         self._is_head_complete = False
-        self._received_bytes = 0
+        self.received_bytes = 0
         self._chunks = 0
         self._fields_seen = 0
         self._http = httptools.HttpResponseParser(self)
@@ -171,9 +171,9 @@
         ValueError
             The bytes around the bodies exceed their limit.
         """
-        self._received_bytes += len(data)
+        self.received_bytes += len(data)
         self._http.feed_data(data)
-        around_bodies = self._received_bytes - self.body_bytes
+        around_bodies = self.received_bytes - self.body_bytes
         if around_bodies > HEAD_BYTES_MAX + FRAMING_FACTOR_MAX * self.body_bytes:
             raise ValueError(f"{around_bodies} bytes around a reply exceed the limit")
 
@@ -516,8 +516,8 @@
                 connection, forwarding.FailureKind.CONNECTION_LOST, "closed"
             )
         else:
-            self._buffered_bytes += parser.body_bytes - connection.buffered_bytes
-            connection.buffered_bytes = parser.body_bytes
+            self._buffered_bytes += parser.received_bytes - connection.buffered_bytes
+            connection.buffered_bytes = parser.received_bytes
             self._limit_buffered_bytes()
 
     def _limit_buffered_bytes(self) -> None:
--- a/tests/test_backendclient.py
+++ b/tests/test_backendclient.py
@@ -328,6 +328,28 @@
     assert left[:4] == [4, 3, 2, 1]
 
 
+async def test_heads_without_end_share_the_limit_of_replies(nursery, monkeypatch):
+    """Guards against heads that together exceed the memory, each within its limit."""
+    head_bytes, sends = 60_000, 40
+    monkeypatch.setattr(backendclient, "REPLIES_BYTES_MAX", 1 << 20)
+
+    async def stall_in_head(stream):
+        async with stream:
+            await stream.receive_some(65536)
+            await stream.send_all(HEAD + b"a: " + b"x" * head_bytes)
+            await trio.sleep_forever()
+
+    address, collector = await serve_once(nursery, stall_in_head), OutcomeCollector()
+    client = backendclient.BackendClient(FixedRequestProtocol(), collector, nursery)
+    for number in range(sends):
+        client.send(make_send(number, address))
+    given_up = sends - backendclient.REPLIES_BYTES_MAX // head_bytes
+    for _ in range(given_up):
+        _, failure = await collector.next()
+        assert failure.kind is forwarding.FailureKind.MALFORMED_REPLY
+    assert client.connections == sends - given_up
+
+
 async def test_trailer_is_no_header_field(nursery):
     """Guards against a trailer that claims that the request has not run."""
     seen = []
