Play odd items, settings, rejections and replies without end in the soak

The soak restarted its processes without looking at why they had ended, so that an end by itself went unnoticed, and had no faults in what processes read.

Added: odd items in the store, settings files that are replaced in steps and announced in series, rejections with a late copy, heads and chunks without end, and the checks that no process ends by itself and that its memory is bounded.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -111,6 +111,19 @@
     return found
 
 
+def ignores_reload_signal(pid: int) -> bool:
+    """Return whether SIGHUP no longer ends a process that is starting.
+
+    No program can prevent an end before its first statement.
+    """
+    try:
+        lines = pathlib.Path(f"/proc/{pid}/status").read_text().splitlines()
+    except OSError:
+        return False
+    masks = [line.split()[1] for line in lines if line.startswith(("SigIgn", "SigCgt"))]
+    return any(int(mask, 16) & 1 << signal.SIGHUP - 1 for mask in masks)
+
+
 class Answer(typing.NamedTuple):
     """HTTP response of an entry instance or a stand-in."""
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -16,6 +16,7 @@
 
 import entry
 import keyvalue
+import processes
 import trio
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -25,6 +26,18 @@
 CALM_S = 4.0
 """Time without a fault after which an instance is held to the bounds, in seconds."""
 
+MEMORY_BYTES_MAX = 200 << 20
+"""Resident memory of an instance under the load of a run, in bytes."""
+
+ODD_VALUES = (
+    b"[" * 5000 + b"]" * 5000,
+    b'{"state": "ready", "zone": ' + b"[" * 5000 + b"]" * 5000 + b"}",
+    b'{"slots": 1' + b"0" * 5000 + b"}",
+    b"\xff\xfe",
+    b"",
+)
+"""Values that another writer leaves in the store, or in the settings file."""
+
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 LOOKUP, ORDER = "/lookup/", "/order/"
 
@@ -48,6 +61,8 @@
         self.disturbed_at = trio.current_time()
         self.killed_at = -CALM_S
         self.pid: int | None = None
+        self.own_ends: list[int] = []
+        self._stops: set[int] = set()
         self._path = directory / f"{settings.ip}.toml"
         self._path.write_text(settings.text)
         self._log = directory / f"{settings.ip}.log"
@@ -68,6 +83,8 @@
                 if process.poll() is None:
                     process.kill()
                     process.wait()
+            if process.pid not in self._stops:
+                self.own_ends.append(process.returncode)
             self.disturbed_at = trio.current_time()
             await trio.sleep(0.2)
 
@@ -76,8 +93,24 @@
         if number in (signal.SIGKILL, signal.SIGSTOP):
             self.killed_at = self.disturbed_at
         if self.pid is not None:
+            if number in (signal.SIGKILL, signal.SIGTERM):
+                self._stops.add(self.pid)
             os.kill(self.pid, number)
 
+    def replace_settings(self, content: bytes | None) -> None:
+        """Write the settings file, its own text if None, and announce it."""
+        self._path.write_bytes(content or self.settings.text.encode())
+        if self.pid is not None and processes.ignores_reload_signal(self.pid):
+            os.kill(self.pid, signal.SIGHUP)
+
+    def read_memory(self) -> int:
+        """Return the resident memory in bytes; 0 without a process."""
+        if self.pid is not None:
+            with contextlib.suppress(OSError):
+                pages = pathlib.Path(f"/proc/{self.pid}/statm").read_text().split()[1]
+                return int(pages) * os.sysconf("SC_PAGE_SIZE")
+        return 0
+
 
 class Soak:
     """One run; `problems` holds what must not have happened.
@@ -105,6 +138,8 @@
         self._routes: list[tuple[float, str]] = []
         self._requests: dict[str, Node] = {}
         self._serial = 0
+        self._faulty_until = 0.0
+        self._late_copies: dict[int, bytes] = {}
         self.outcomes: list[Outcome] = []
         self.problems: list[str] = []
 
@@ -157,14 +192,37 @@
 
     def _make_script(self, number: int) -> entry.Script:
         async def reply(stream: trio.SocketStream, identity: str) -> bool:
+            now = trio.current_time()
+            self._arrivals.append((now, identity, number))
+            await stream.send_all(self._late_copies.pop(id(stream), b""))
+            if now < self._faulty_until and self._random.random() < 0.5:
+                return await self._misbehave(stream, identity)
             self._runs[identity] += 1
-            self._arrivals.append((trio.current_time(), identity, number))
             await trio.sleep(self._random.choice((0.002, 0.02, 0.3)))
             await stream.send_all(entry.make_reply(identity, identity.encode()))
             return True
 
         return reply
 
+    async def _misbehave(self, stream: trio.SocketStream, identity: str) -> bool:
+        """Reject a request, at times once more and late, or answer without end."""
+        head = f"HTTP/1.1 503 Full\r\nX-Request-Id: {identity}\r\n"
+        rejection = f"{head}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode()
+        kind = self._random.choice(("reject", "reject twice", "chunks", "head"))
+        if kind.startswith("reject"):
+            if kind == "reject twice":
+                self._late_copies[id(stream)] = rejection
+            await stream.send_all(rejection)
+            return True
+        self._runs[identity] += 1
+        start, rest = "HTTP/1.1 200 OK\r\n", b"a: b\r\n" * 5_000
+        if kind == "chunks":
+            start += "Transfer-Encoding: chunked\r\n\r\n"
+            rest = b"1\r\nx\r\n" * 5_000
+        await stream.send_all(start.encode())
+        while True:
+            await stream.send_all(rest)
+
     async def _call(self) -> None:
         """Send requests on kept connections until their process is gone."""
         while True:
@@ -202,6 +260,9 @@
             now = trio.current_time()
             due = [name for at, name in self._routes if now - at > BOUND_S]
             for node in self._nodes:
+                memory = node.read_memory()
+                if memory > MEMORY_BYTES_MAX:
+                    self.problems.append(f"{now:.2f} {memory >> 20} MB resident")
                 if not due or not self._is_calm(node, now):
                     continue
                 with contextlib.suppress(OSError):
@@ -228,6 +289,10 @@
             self._remove_server,
             self._refuse_reads,
             self._cut_watches,
+            self._reload,
+            self._reload,
+            self._write_odd_item,
+            self._spoil_replies,
         )
         while True:
             await trio.sleep(self._random.choice((0.1, 0.8, 2.5)))
@@ -247,6 +312,25 @@
         if pid is not None and pid == node.pid:
             node.send_signal(signal.SIGCONT)
 
+    async def _reload(self) -> None:
+        """Replace a settings file in steps, one of which may be odd, some in series."""
+        node = self._random.choice(self._nodes)
+        for _ in range(self._random.choice((1, 3))):
+            node.replace_settings(self._random.choice((None, *ODD_VALUES)))
+            await trio.sleep(self._random.choice((0.0, 0.1, 1.2)))
+        node.replace_settings(None)
+
+    async def _write_odd_item(self) -> None:
+        """Let another writer put an odd item, which lapses or stays."""
+        key = self._random.choice(("servers/i-other", "servers/", "op/other"))
+        self._store.put_bytes(key, self._random.choice(ODD_VALUES))
+        await trio.sleep(self._random.choice((0.5, 3.0)))
+        if self._random.random() < 0.5:
+            self._store.remove(key)
+
+    async def _spoil_replies(self) -> None:
+        self._faulty_until = trio.current_time() + self._random.choice((1.0, 4.0))
+
     async def _change_routes(self) -> None:
         self._routes.append((trio.current_time(), f"added-{len(self._routes)}"))
         self._publish(2 + len(self._routes))
@@ -282,6 +366,9 @@
             was_killed = one.node.killed_at > one.sent_at - CALM_S
             if status == 0 and runs and not was_killed:
                 self.problems.append(f"cut without an answer: {label}")
+        for node in self._nodes:
+            for status in node.own_ends:
+                self.problems.append(f"process ended by itself: status {status}")
         self._check_removals()
 
     def _check_removals(self) -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -77,14 +77,7 @@
 def test_reload_signals_never_end_the_process(settings, start):
     """Guards against a moment of the start or stop at which SIGHUP ends the process."""
     process = start()
-    status = pathlib.Path(f"/proc/{process.pid}/status")
-
-    def ignores_reload() -> bool:
-        line = next(x for x in status.read_text().splitlines() if "SigIgn" in x)
-        return bool(int(line.split()[1], 16) & 1 << signal.SIGHUP - 1)
-
-    # No program can prevent an end before its first statement.
-    processes.wait_until(ignores_reload)
+    processes.wait_until(lambda: processes.ignores_reload_signal(process.pid))
     stop_at = None
     while process.poll() is None:
         process.send_signal(signal.SIGHUP)
