Log unexpected exceptions of replies in the product's own client

Any exception of a reply counted as a bad reply without a trace, so that a defect of the client would look like a faulty server.

Change: exceptions other than those of the protocol are logged with their type.

--- a/acacialatch/httpclient.py
+++ b/acacialatch/httpclient.py
@@ -7,7 +7,7 @@
 import h11
 import trio
 
-from acacialatch import events, framing
+from acacialatch import decoding, events, framing, logs
 
 CONNECTION_LIVE_S = 1.0
 """Time after an exchange for which its connection is known to work, in seconds."""
@@ -184,8 +184,16 @@
             )
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             return make_failure(events.SendCause.CONNECTION_LOST)
-        except Exception:
+        except (h11.RemoteProtocolError, h11.LocalProtocolError, ValueError):
+            return make_failure(events.SendCause.BAD_REPLY)
+        except Exception as error:
             # The bytes of a reply may raise whatever the libraries raise.
+            logs.write(
+                logs.Part.SERVER,
+                "reply raised an unexpected exception",
+                address=call.address,
+                error=decoding.describe(error),
+            )
             return make_failure(events.SendCause.BAD_REPLY)
         finally:
             if connection is not None:
