Refuse a change of the store that cannot be applied, and apply the others

An operator reported that instances stopped following the list of servers while it held one odd entry. No such entry is known here that can be decoded and not applied; this is a fault by reading, shown by a test that makes one.

Cause: an exception while a change was applied ended the whole answer. All was read again, met the same change, and no later change came into force.

Change: each change is applied by itself; one that raises is counted, logged with its key and treated as an unreadable value.

--- a/acacialatch/registry.py
+++ b/acacialatch/registry.py
@@ -7,7 +7,14 @@
 import math
 import typing
 
-from acacialatch import backends, deployment, forwarder, forwarding, freshness
+from acacialatch import (
+    backends,
+    decoding,
+    deployment,
+    forwarder,
+    forwarding,
+    freshness,
+)
 
 ZONE_GRACE_S = 30.0
 """Time in seconds for which a zone stays out that a restored store lacks.
@@ -303,32 +310,51 @@
             if change.revision <= self._revision_by_key.get(change.key, 0):
                 continue
             self._revision_by_key[change.key] = change.revision
-            match change:
-                case DeploymentPut():
-                    self._apply_deployment(change, log_entries)
-                case BackendPut():
-                    if is_restored and self._is_older_report(change.entry):
-                        self._hold(now, change, log_entries)
-                    else:
-                        self._apply_backend(now, change, log_entries)
-                case ZoneOut():
-                    self._missing_zones.pop(change.key, None)
-                    self._excluded_zones[change.key] = change.zone
-                    self._exclude_zone(change, log_entries)
-                case Removed():
-                    self._revision_by_key.pop(change.key)
-                    self._remove(now, change.key, log_entries)
-                case InvalidValue():
-                    self.invalid_values += 1
-                    values = {"key": change.key, "reason": change.reason}
-                    log_entries.append(
-                        forwarding.LogEntry("config:", "unreadable value", values)
-                    )
-                    self._remove(now, change.key, log_entries)
-                case IgnoredKey():
-                    pass
+            try:
+                self._apply_change(now, change, is_restored, log_entries)
+            except Exception as error:
+                # The changes after it must come into force all the same.
+                reason = f"cannot be applied: {decoding.describe(error)}"
+                invalid = InvalidValue(change.key, change.revision, reason)
+                self._refuse(now, invalid, log_entries)
         self.revision = max(self.revision, changes.revision)
 
+    def _apply_change(
+        self,
+        now: float,
+        change: Change,
+        is_restored: bool,
+        log_entries: list[forwarding.LogEntry],
+    ) -> None:
+        match change:
+            case DeploymentPut():
+                self._apply_deployment(change, log_entries)
+            case BackendPut():
+                if is_restored and self._is_older_report(change.entry):
+                    self._hold(now, change, log_entries)
+                else:
+                    self._apply_backend(now, change, log_entries)
+            case ZoneOut():
+                self._missing_zones.pop(change.key, None)
+                self._excluded_zones[change.key] = change.zone
+                self._exclude_zone(change, log_entries)
+            case Removed():
+                self._revision_by_key.pop(change.key)
+                self._remove(now, change.key, log_entries)
+            case InvalidValue():
+                self._refuse(now, change, log_entries)
+            case IgnoredKey():
+                pass
+
+    def _refuse(
+        self, now: float, change: InvalidValue, log_entries: list[forwarding.LogEntry]
+    ) -> None:
+        """Count and report a value that cannot be used, and remove its key."""
+        self.invalid_values += 1
+        values = {"key": change.key, "reason": change.reason}
+        log_entries.append(forwarding.LogEntry("config:", "unreadable value", values))
+        self._remove(now, change.key, log_entries)
+
     def _is_older_report(self, entry: backends.Entry) -> bool:
         """Return whether a registration differs from what is known, but is no newer."""
         latest = self._latest_reports.get(entry.identity)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -80,6 +80,31 @@
     assert core.deployment.version == 4
 
 
+@pytest.mark.parametrize("is_snapshot", [True, False])
+def test_change_that_cannot_be_applied_affects_no_other(monkeypatch, is_snapshot):
+    """Guards against one item that keeps all later changes from coming into force."""
+    core = forwarder.Forwarder("ba", sending.Budgets(), 1)
+    target = registry.Registry(core, freshness.Evidence())
+    put = core.backends.put
+
+    def put_or_raise(now, entry):
+        if entry.identity == "odd":
+            raise OverflowError("a number that nobody thought of")
+        return put(now, entry)
+
+    monkeypatch.setattr(core.backends, "put", put_or_raise)
+    changes = (make_backend("odd", 2), make_backend("a", 3), make_deployment(4, 4))
+    apply = target.apply_snapshot if is_snapshot else target.apply_changes
+    entries = apply(1.0, registry.Changes(4, changes))
+    assert core.backends.list_identities() == {"a"}
+    assert core.deployment.version == 4
+    assert target.revision == 4
+    assert target.invalid_values == 1
+    refused = [one for one in entries if one.text == "unreadable value"]
+    assert [one.values["key"] for one in refused] == ["odd"]
+    assert "OverflowError" in refused[0].values["reason"]
+
+
 @pytest.mark.parametrize("fails_at_start", [True, False])
 async def test_read_that_raises_an_exception_has_only_failed(
     nursery, autojump_clock, fails_at_start
