--- a/acacialatch/backendclient.py
+++ b/acacialatch/backendclient.py
@@ -193,7 +193,8 @@
             raise ValueError(f"reply has over {HEADER_FIELDS_MAX} header fields")
         # A trailer must not claim what only the header may, such as the run state.
         if not self._is_head_complete:
-            self._fields.append((name, value))
+            # Spaces around a value are no part of it, and h11 does not send them.
+            self._fields.append((name, value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
         self._is_head_complete = True
--- a/tests/test_entryinstance.py
+++ b/tests/test_entryinstance.py
@@ -256,6 +256,31 @@
             assert runs.count(identity) == (answer.status == 200), answer
 
 
+@pytest.mark.parametrize("path", ["/lookup/", "/order/"])
+async def test_spaces_after_a_field_value_do_not_cut_the_answer(nursery, path):
+    """Guards against a connection that ends without the answer of a sound server."""
+
+    async def reply(stream, identity):
+        whole = entry.make_reply(identity)
+        await stream.send_all(whole.replace(b"\r\n", b"\r\nX-Note: a b \t\r\n", 1))
+        return True
+
+    served = keyvalue.KeyValueStore()
+    address = await nursery.start(keyvalue.serve, served)
+    backend = entry.Backend(reply)
+    await nursery.start(backend.serve)
+    routes = [
+        keyvalue.make_route("lookup", "single"),
+        keyvalue.make_route("order", "single", "non_idempotent"),
+    ]
+    entry.publish(served, routes, [("single", backend, "a")])
+    instance = entry.Entry(address)
+    nursery.start_soon(instance.run)
+    await instance.wait_until_ready()
+    answer = await instance.request(path, method="POST")
+    assert (answer.status, answer.headers.get("x-note")) == (200, "a b")
+
+
 TASKS = {
     "store watcher": (store.StoreWatcher, "run"),
     "timers": (entryinstance.EntryInstance, "_run_timers"),
