Take an idle connection by its place in the pool

The pool of a server was copied and searched for each send.

Change: it is walked from its end by place. No behaviour changes; the tests of test_backendclient pass.

--- a/acacialatch/backendclient.py
+++ b/acacialatch/backendclient.py
@@ -363,7 +363,8 @@
         """
         idle = self._idle.get(send.address, [])
         now = trio.current_time()
-        for connection in reversed(idle.copy()):
+        for place in range(len(idle) - 1, -1, -1):
+            connection = idle[place]
             if now >= connection.usable_until:
                 self._close(connection)
                 continue
@@ -375,7 +376,7 @@
             if not connection.can_carry(send):
                 self.passed_over += 1
                 continue
-            idle.remove(connection)
+            del idle[place]
             return connection
         return None
 
