--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -79,7 +79,9 @@
     process = start()
     processes.wait_until(lambda: processes.ignores_reload_signal(process.pid))
     stop_at = None
+    end = time.monotonic() + 2 * processes.WAIT_S
     while process.poll() is None:
+        assert time.monotonic() < end, "neither served nor stopped in time"
         process.send_signal(signal.SIGHUP)
         time.sleep(0.002)
         if stop_at is None and is_serving(settings[0].ip):
