Review case 9: count only requests that were sent and arrived in the second

The rule counts requests that were sent and arrived inside the second. The check counted by arrival only.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -39,15 +39,15 @@
         return int(1000 * max(0.0, self.cold_at + COLD_S - time.monotonic()))
 
     def list_cold_arrivals(self):
-        """Return the times of the requests that arrived while it was cold."""
+        """Return time and identifier of the requests that arrived while it was cold."""
         end = self.cold_at + COLD_S
-        return [at for at, _ in self.arrivals if self.cold_at <= at < end]
+        return [one for one in self.arrivals if self.cold_at <= one[0] < end]
 
     async def reject(self, message, fields):
         """Crash if far too many requests arrive while it is cold."""
         now = time.monotonic()
         if self.cold_at is not None and now < self.cold_at + COLD_S:
-            last = [at for at in self.list_cold_arrivals() if at > now - 1]
+            last = [at for at, _ in self.list_cold_arrivals() if at > now - 1]
             if len(last) > CRASH_PER_S and self.server.is_serving():
                 self.stage.note("crashed", self.identity)
                 self.end()
@@ -68,10 +68,12 @@
         return None
     await asyncio.sleep(5)
     statuses = collections.Counter()
+    sent = {}
 
     async def call(number):
         entry = play_on.entries[number % 3]
         identity = f"r-{number}"
+        sent[identity] = time.monotonic()
         answer = await stage.ask(
             entry.ip, stage.FRONT, "/order/x", identity, 8000, "POST", b"{}"
         )
@@ -100,9 +102,14 @@
     for one in replicas:
         if one.cold_at is None:
             continue
-        times = one.list_cold_arrivals()
-        most = max((sum(t <= u < t + 1 for u in times) for t in times), default=0)
-        after = [round(at - one.cold_at, 3) for at in times]
+        # Both times of a request must lie in the second, and in the cold time.
+        spans = [(sent[identity], at) for at, identity in one.list_cold_arrivals()]
+        starts = [start for start, _ in spans if start >= one.cold_at]
+        most = max(
+            (sum(t <= start and at < t + 1 for start, at in spans) for t in starts),
+            default=0,
+        )
+        after = [round(at - one.cold_at, 3) for _, at in spans]
         play_on.note(one.identity, "arrivals after", after, "most in 1 s", most)
         if most > BOUND:
             problems.append(
