--- a/review/stage.py
+++ b/review/stage.py
@@ -26,6 +26,7 @@
 FRONT, READY, DIRECTORY = 8104, 8108, 8100
 START_S = 20.0
 RUN_S = 110.0
+QUEUE_MAX = 18
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 SETTINGS = """
@@ -244,6 +245,8 @@
 class Replica:
     """A backend server that works one request after the other on a connection.
 
+    It works on `slots` requests at once, and queues or rejects the others.
+
     Attributes
     ----------
     arrivals : list
@@ -270,6 +273,8 @@
         self.born = int(time.time() * 1000)
         self.server = None
         self.writers = set()
+        self._free_slots = asyncio.Semaphore(slots)
+        self._queued = 0
         self.registered = None
         self.beat_task = None
 
@@ -333,13 +338,28 @@
             writer.write(encode_response(421, fields))
             return True
         self.arrivals.append((time.monotonic(), identity))
-        if (answer := await self.reject(message, fields)) is not None:
+        answer = await self.reject(message, fields)
+        if answer is None and self._queued >= QUEUE_MAX:
+            answer = encode_response(503, [*fields, ("X-Not-Executed", "1")])
+        if answer is not None:
             writer.write(answer)
             return True
-        self.ran[identity] += 1
-        self.stage.note("ran", identity, self.identity)
+        self._queued += 1
+        try:
+            await self._free_slots.acquire()
+        finally:
+            self._queued -= 1
+        try:
+            self.ran[identity] += 1
+            self.stage.note("ran", identity, self.identity)
+            return await self.work(identity, fields, writer)
+        finally:
+            self._free_slots.release()
+
+    async def work(self, identity, fields, writer):
+        """Work on a request in a slot, and answer it."""
         await asyncio.sleep(self.work_s)
-        fields.append(("X-Server-Stamp", f"{self.identity}.{identity}"))
+        fields = [*fields, ("X-Server-Stamp", f"{self.identity}.{identity}")]
         writer.write(encode_response(200, fields, self.make_body(identity)))
         await writer.drain()
         return True
