--- a/review/9/case.py
+++ b/review/9/case.py
@@ -9,7 +9,7 @@
 import stage
 
 DRAIN_S = 3.0
-REFUSED_S = 9.0
+REFUSED_S = 8.9
 LEAVES_AFTER_S = 0.5
 SERVES_ON_S = 7.0
 CALLS_PER_S = 25.0
